--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,11 @@
+module.exports = {
+  testEnvironment: 'node',
+  roots: ['<rootDir>/packages'],
+  testMatch: ['**/__tests__/**/*.test.ts'],
+  testTimeout: 120000,
+  maxWorkers: 3,
+  moduleNameMapper: { '^@azureworks/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts' },
+  transform: {
+    '^.+\\.ts$': ['@swc/jest', { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' } }],
+  },
+};
--- /dev/null
+++ b/packages/daemon/src/core/observability.ts
@@ -0,0 +1,33 @@
+/**
+ * The routes that every daemon has for those who watch it: `/metrics`, `/healthz` and `/readyz`.
+ */
+import * as httpTask from './http-task';
+import type * as metrics from './metrics';
+
+const OK = 200;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Adds the routes; `isReady` tells whether new work is taken. */
+export function addObservability(
+  http: httpTask.HttpTask,
+  sharedMetrics: metrics.Metrics,
+  isReady: () => boolean,
+): void {
+  http.add('get', '/metrics', (_request, response) => {
+    response.writeHead(OK, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(sharedMetrics.format());
+  });
+  http.add('get', '/healthz', (_request, response) => {
+    httpTask.sendJson(response, OK, { status: 'alive' });
+  });
+  http.add('get', '/readyz', (_request, response) => {
+    const ready = isReady();
+    const status = ready ? OK : SERVICE_UNAVAILABLE;
+    httpTask.sendJson(response, status, { status: ready ? 'ready' : 'not ready' });
+  });
+  const processMetrics: [string, () => number][] = [
+    ['resident_bytes', () => process.memoryUsage().rss],
+    ['processor_microseconds', () => process.cpuUsage().user + process.cpuUsage().system],
+  ];
+  processMetrics.forEach(([name, read]) => sharedMetrics.gauge(name, {}, read));
+}
--- /dev/null
+++ b/packages/daemon/src/entry/attempt.ts
@@ -0,0 +1,168 @@
+/**
+ * One attempt at a request: hands it to a target daemon and collects the outcome.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as forwardedRequests from '../core/forwarded-request';
+import * as headers from '../types/headers';
+import type * as directories from './directory';
+import type * as requests from './request';
+import type * as joiners from './stream-joiner';
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+  | { readonly kind: 'answered'; readonly answer: requests.Answer }
+  | { readonly kind: 'failed'; readonly failure: decisions.Failure };
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  readonly id: string;
+  readonly request: requests.Request;
+  readonly target: directories.DirectoryTarget;
+  /** Milliseconds that are left for the request. */
+  readonly remainingMs: number;
+  /** Where to go on with a broken stream. */
+  readonly resume?: joiners.ResumePoint;
+  readonly joiner: joiners.StreamJoiner;
+  readonly sink?: requests.Sink;
+  /** Told the load that came with the answer. */
+  noteLoad(load: string): void;
+}
+
+const ERROR_STATUS = 400;
+
+/** One attempt at one target. */
+export class Attempt implements forwardedRequests.ForwardEvents {
+  private forwarded: forwardedRequests.ForwardedRequest | undefined;
+
+  private resolve: (outcome: AttemptOutcome) => void = () => {};
+
+  private status = 0;
+
+  private responseHeaders: forwardedRequests.ResponseHeaders = {};
+
+  private readonly chunks: Buffer[] = [];
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: AttemptOptions) {}
+
+  static create(options: AttemptOptions): Attempt {
+    return new Attempt(options);
+  }
+
+  /** Runs the attempt; always resolves. */
+  run(): Promise<AttemptOutcome> {
+    const { target, remainingMs } = this.options;
+    const promise = new Promise<AttemptOutcome>((resolve) => {
+      this.resolve = resolve;
+    });
+    this.timer = setTimeout(() => this.expire(), remainingMs);
+    this.options.sink?.onDrain(() => this.forwarded?.resume());
+    this.forwarded = target.forwarder.send(this.createRequest(), this);
+    return promise;
+  }
+
+  /** Gives the attempt up. */
+  abort(): void {
+    this.forwarded?.abort();
+    this.settleFailed(decisions.createFailure('target-failed', { detail: 'given up' }));
+  }
+
+  head(status: number, responseHeaders: forwardedRequests.ResponseHeaders): void {
+    this.status = status;
+    this.responseHeaders = responseHeaders;
+    const load = responseHeaders[headers.Header.Load];
+    if (typeof load === 'string') this.options.noteLoad(load);
+    if (this.isStreaming()) this.options.sink?.head();
+  }
+
+  data(chunk: Buffer): boolean {
+    if (!this.isStreaming()) {
+      this.chunks.push(chunk);
+      return true;
+    }
+    const events = this.options.joiner.push(chunk);
+    if (!events || !this.options.sink) return true;
+    return this.options.sink.write(events);
+  }
+
+  end(): void {
+    if (!this.isStreaming()) {
+      this.settleBuffered(Buffer.concat(this.chunks));
+      return;
+    }
+    if (!this.options.joiner.isComplete()) {
+      this.fail(true, new Error('the answer ended early'));
+      return;
+    }
+    const contentType = String(this.responseHeaders['content-type'] ?? '');
+    const answer = { status: this.status, contentType, body: Buffer.alloc(0), isStreamed: true };
+    this.settle({ kind: 'answered', answer });
+  }
+
+  fail(wasSent: boolean, error: Error): void {
+    const verdict = wasSent ? decisions.VerdictKind.MayHaveRun : decisions.VerdictKind.NotRun;
+    const detail = { detail: error.message, verdict };
+    this.settleFailed(decisions.createFailure('target-failed', detail));
+  }
+
+  private expire(): void {
+    this.forwarded?.abort();
+    const verdict = decisions.VerdictKind.MayHaveRun;
+    this.settleFailed(decisions.createFailure('deadline-exceeded', { verdict }));
+  }
+
+  private isStreaming(): boolean {
+    if (!this.options.request.isStreamed || this.status >= ERROR_STATUS) return false;
+    return this.responseHeaders[headers.Header.Verdict] === decisions.VerdictKind.Ran;
+  }
+
+  private settleBuffered(body: Buffer): void {
+    const verdict = this.responseHeaders[headers.Header.Verdict];
+    if (verdict === decisions.VerdictKind.Ran) {
+      const contentType = String(this.responseHeaders['content-type'] ?? '');
+      const answer = { status: this.status, contentType, body, isStreamed: false };
+      this.settle({ kind: 'answered', answer });
+      return;
+    }
+    const code = this.responseHeaders[headers.Header.ErrorCode];
+    this.settleFailed(
+      decisions.createFailure(decisions.isErrorCode(code) ? code : 'target-failed', {
+        verdict: decisions.isVerdictKind(verdict) ? verdict : decisions.VerdictKind.MayHaveRun,
+      }),
+    );
+  }
+
+  private settleFailed(failure: decisions.Failure): void {
+    this.settle({ kind: 'failed', failure });
+  }
+
+  private settle(outcome: AttemptOutcome): void {
+    clearTimeout(this.timer);
+    this.options.sink?.onDrain(() => {});
+    this.resolve(outcome);
+  }
+
+  private createRequest(): forwardedRequests.ForwardRequest {
+    const { id, request, target, remainingMs, resume } = this.options;
+    return {
+      method: request.method,
+      path: `/work${request.path}`,
+      headers: {
+        ...(request.contentType && { 'content-type': request.contentType }),
+        ...(request.requestId && { [headers.Header.RequestId]: request.requestId }),
+        ...(resume && { [headers.Header.LastEventId]: resume.lastEventId }),
+        [headers.Header.Attempt]: id,
+        [headers.Header.Incarnation]: String(target.hello.incarnation),
+        [headers.Header.DeadlineMs]: String(Math.round(remainingMs)),
+        [headers.Header.Priority]: String(request.priority),
+      },
+      body: resume ? addResumeText(request.body, resume.text) : request.body,
+    };
+  }
+}
+
+function addResumeText(body: Buffer | undefined, text: string): Buffer {
+  const completion = JSON.parse(body?.toString('utf8') ?? '{}') as Record<string, unknown>;
+  return Buffer.from(JSON.stringify({ ...completion, resume_text: text }));
+}
--- /dev/null
+++ b/packages/daemon/src/entry/call.ts
@@ -0,0 +1,257 @@
+/**
+ * A call: one request, attempted until it is answered or must be refused.
+ *
+ * Only attempts whose verdict allows it are repeated. A broken stream goes on at another target
+ * from the last whole event. An attempt at a non-idempotent request whose answer was lost is
+ * settled with the target daemon before anything else is tried.
+ */
+import * as decisions from '@azureworks/decisions';
+import * as neverthrow from 'neverthrow';
+import type * as metrics from '../core/metrics';
+import * as attempts from './attempt';
+import type * as directories from './directory';
+import type * as requests from './request';
+import * as settlements from './settlement';
+import * as joiners from './stream-joiner';
+import * as pauses from '../utils/pause';
+
+/** What every call of an entry shares. */
+export interface CallContext {
+  readonly directory: directories.Directory;
+  readonly metrics: metrics.Metrics;
+  readonly clock: decisions.Clock;
+  readonly random: decisions.Random;
+  readonly retryBudget: decisions.RetryBudget;
+  /** The name and incarnation of the entry, the first part of every attempt id. */
+  readonly entryId: string;
+}
+
+/** Asked before every attempt; records where the request is about to be handed over. */
+export type Permit = (
+  place: settlements.AttemptPlace,
+) => Promise<neverthrow.Result<void, decisions.Failure>>;
+
+/** The result of a call. */
+export type CallResult = neverthrow.Result<requests.Answer, decisions.Failure>;
+
+const NO_TARGET_WAIT_MS = 50;
+const LONGEST_NO_TARGET_WAIT_MS = 3000;
+const RETRY_AFTER_MS = 1000;
+const SETTLE_WAIT_MS = 2000;
+const LARGEST_RESUMABLE_BYTES = 4 * 1024 * 1024;
+const ATTEMPT_NUMBER_RADIX = 36;
+
+let attemptNumber = 0;
+
+/** One request on its way. */
+export class Call {
+  private readonly excluded = new Set<string>();
+
+  private readonly verdicts: decisions.VerdictKind[] = [];
+
+  private resume: joiners.ResumePoint | undefined;
+
+  private attempt: attempts.Attempt | undefined;
+
+  private isAborted = false;
+
+  private isMoving = false;
+
+  private attemptStartMs = 0;
+
+  private attemptStartSize = 0;
+
+  private constructor(
+    private readonly context: CallContext,
+    private readonly request: requests.Request,
+    private readonly sink: requests.Sink | undefined,
+    private readonly permit: Permit | undefined,
+    readonly joiner: joiners.StreamJoiner,
+  ) {}
+
+  /**
+   * @param sink where a streamed answer goes as it arrives; without one it is only collected
+   * @param permit asked before every attempt
+   */
+  static create(
+    context: CallContext,
+    request: requests.Request,
+    sink?: requests.Sink,
+    permit?: Permit,
+  ): Call {
+    return new Call(context, request, sink, permit, joiners.StreamJoiner.create());
+  }
+
+  /** Gives the call up; `run` resolves soon afterwards. */
+  abort(): void {
+    this.isAborted = true;
+    this.attempt?.abort();
+  }
+
+  /** Moves the call to another target, which goes on where this one stands. */
+  move(): void {
+    this.isMoving = true;
+    this.attempt?.abort();
+  }
+
+  /** How far the current attempt has come; undefined while none is under way. */
+  getProgress(): { readonly runningMs: number; readonly produced: number } | undefined {
+    if (!this.attempt) return undefined;
+    const runningMs = this.context.clock.nowMs() - this.attemptStartMs;
+    return { runningMs, produced: this.joiner.size - this.attemptStartSize };
+  }
+
+  /** Runs the call. */
+  async run(): Promise<CallResult> {
+    this.context.retryBudget.deposit();
+    while (true) {
+      const result = await this.runOnce();
+      if (result) return result;
+    }
+  }
+
+  /** Makes one attempt; undefined means that another one is due. */
+  private async runOnce(): Promise<CallResult | undefined> {
+    const target = await this.findTarget();
+    if (target.isErr()) return neverthrow.err(target.error);
+    const place = this.createPlace(target.value);
+    const permitted = this.permit ? await this.permit(place) : neverthrow.ok(undefined);
+    if (permitted.isErr()) return neverthrow.err(this.combine(permitted.error));
+    const outcome = await this.makeAttempt(target.value, place);
+    if (outcome.kind === 'answered') return neverthrow.ok(outcome.answer);
+    return this.handleFailure(outcome.failure, target.value, place);
+  }
+
+  private async findTarget(): Promise<
+    neverthrow.Result<directories.DirectoryTarget, decisions.Failure>
+  > {
+    const { clock, directory } = this.context;
+    const waitUntilMs = Math.min(
+      this.request.deadlineMs,
+      clock.nowMs() + LONGEST_NO_TARGET_WAIT_MS,
+    );
+    while (!this.isAborted) {
+      const nowMs = clock.nowMs();
+      if (nowMs >= this.request.deadlineMs) return this.refuse('deadline-exceeded');
+      const target = this.chooseTarget(directory);
+      if (target) return neverthrow.ok(target);
+      if (nowMs >= waitUntilMs) return this.refuse('no-target');
+      this.excluded.clear();
+      await pauses.pause(NO_TARGET_WAIT_MS);
+    }
+    return this.refuse('no-target');
+  }
+
+  private chooseTarget(directory: directories.Directory): directories.DirectoryTarget | undefined {
+    const { service, affinityHash, model } = this.request;
+    const placement = affinityHash === undefined ? {} : { affinityHash };
+    return directory.choose({ service, placement, excluded: this.excluded, model });
+  }
+
+  private createPlace(target: directories.DirectoryTarget): settlements.AttemptPlace {
+    attemptNumber += 1;
+    const number = attemptNumber.toString(ATTEMPT_NUMBER_RADIX);
+    const { address, httpPort, incarnation } = target.hello;
+    return {
+      attempt: `${this.context.entryId}-${number}`,
+      url: `http://${address}:${httpPort}`,
+      incarnation,
+    };
+  }
+
+  private async makeAttempt(
+    target: directories.DirectoryTarget,
+    place: settlements.AttemptPlace,
+  ): Promise<attempts.AttemptOutcome> {
+    const { clock } = this.context;
+    const startMs = clock.nowMs();
+    this.attemptStartMs = startMs;
+    this.attemptStartSize = this.joiner.size;
+    target.candidate.inFlight += 1;
+    target.health.noteStart();
+    this.attempt = attempts.Attempt.create({
+      id: place.attempt,
+      request: this.request,
+      target,
+      remainingMs: this.request.deadlineMs - startMs,
+      joiner: this.joiner,
+      noteLoad: (load) => this.context.directory.noteAnswerLoad(target, load),
+      ...(this.resume && { resume: this.resume }),
+      ...(this.sink && { sink: this.sink }),
+    });
+    const outcome = await this.attempt.run();
+    this.attempt = undefined;
+    target.candidate.inFlight -= 1;
+    this.noteOutcome(target, outcome, clock.nowMs() - startMs);
+    return outcome;
+  }
+
+  private noteOutcome(
+    target: directories.DirectoryTarget,
+    outcome: attempts.AttemptOutcome,
+    durationMs: number,
+  ): void {
+    if (outcome.kind === 'answered') {
+      target.health.noteSuccess();
+      target.serviceTime.add(durationMs);
+      target.candidate.serviceTimeMs = target.serviceTime.value;
+      return;
+    }
+    const { code } = outcome.failure;
+    this.context.metrics.count('attempts_failed', { service: this.request.service, code });
+    if (this.isAborted || this.isMoving || code !== 'target-failed') return;
+    target.health.noteFailure(this.context.clock.nowMs());
+  }
+
+  private async handleFailure(
+    failure: decisions.Failure,
+    target: directories.DirectoryTarget,
+    place: settlements.AttemptPlace,
+  ): Promise<CallResult | undefined> {
+    let { verdict } = failure;
+    if (this.isAborted) return neverthrow.err(this.combine(failure));
+    if (verdict === decisions.VerdictKind.MayHaveRun && !this.request.isIdempotent) {
+      const settlement = await this.settle(place);
+      if (settlement.kind === 'ran') return neverthrow.ok(settlement.answer);
+      if (settlement.kind === 'not-run') verdict = decisions.VerdictKind.NotRun;
+    }
+    this.verdicts.push(verdict);
+    this.excluded.add(target.hello.name);
+    if (!this.mayRetry(verdict, failure)) {
+      return neverthrow.err(this.combine({ ...failure, verdict }));
+    }
+    this.context.metrics.count('retries', { service: this.request.service, verdict });
+    if (this.request.isStreamed) this.resume = this.joiner.breakOff();
+    return undefined;
+  }
+
+  private settle(place: settlements.AttemptPlace): Promise<settlements.Settlement> {
+    const remainingMs = this.request.deadlineMs - this.context.clock.nowMs();
+    return settlements.settleAttempt(place, Math.max(0, Math.min(SETTLE_WAIT_MS, remainingMs)));
+  }
+
+  private mayRetry(verdict: decisions.VerdictKind, failure: decisions.Failure): boolean {
+    if (!decisions.isRetryable(verdict, this.request.isIdempotent)) return false;
+    if (failure.code === 'deadline-exceeded') return false;
+    if (this.joiner.size > LARGEST_RESUMABLE_BYTES) return false;
+    // A target that leaves gives its queue back; moving that work is no sign of trouble.
+    if (this.isMoving) {
+      this.isMoving = false;
+      return true;
+    }
+    if (failure.code === 'draining' || failure.code === 'target-replaced') return true;
+    return this.context.retryBudget.withdraw();
+  }
+
+  private refuse(code: decisions.ErrorCode): neverthrow.Err<never, decisions.Failure> {
+    return neverthrow.err(
+      this.combine(decisions.createFailure(code, { retryAfterMs: RETRY_AFTER_MS })),
+    );
+  }
+
+  /** The failure told to the caller, with the verdict over all attempts. */
+  private combine(failure: decisions.Failure): decisions.Failure {
+    const verdict = decisions.combineVerdicts([...this.verdicts, failure.verdict]);
+    return { ...failure, verdict };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/caller-api.ts
@@ -0,0 +1,267 @@
+/**
+ * The HTTP surface towards callers: completions by model engines and calls to plain services.
+ */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import type * as configuration from '@azureworks/configuration';
+import * as decisions from '@azureworks/decisions';
+import * as neverthrow from 'neverthrow';
+import * as zod from 'zod';
+import * as body from '../core/body';
+import * as httpTask from '../core/http-task';
+import * as headers from '../types/headers';
+import type * as configurationTask from './configuration-task';
+import type * as dispatchers from './dispatcher';
+import type * as requests from './request';
+
+/** What the callers' surface needs. */
+export interface CallerApiOptions {
+  readonly http: httpTask.HttpTask;
+  readonly configuration: configurationTask.ConfigurationTask;
+  readonly dispatcher: dispatchers.Dispatcher;
+  readonly clock: decisions.Clock;
+  isDraining(): boolean;
+}
+
+interface Caller {
+  readonly tenant: string;
+  readonly share: number;
+  readonly className: string;
+  readonly priority: number;
+}
+
+type Checked<T> = neverthrow.Result<T, decisions.Failure>;
+
+const completionSchema = zod.looseObject({
+  prompt: zod.string().min(1),
+  prefix: zod.string().optional(),
+  model: zod.string().optional(),
+  stream: zod.boolean().optional(),
+  max_tokens: zod.number().int().min(1).optional(),
+});
+
+/** Characters of a prompt that place it when the caller names no prefix. */
+const PREFIX_CHARACTERS = 256;
+const TOKEN_PREFIX = 'Bearer ';
+
+/** Serves callers. */
+export class CallerApi {
+  private constructor(private readonly options: CallerApiOptions) {
+    const { http: server } = options;
+    server.add('post', '/v1/engines/:engine/completions', (request, response) =>
+      this.complete(request, response),
+    );
+    server.add('all', '/v1/services/:service/*', (request, response) =>
+      this.callService(request, response),
+    );
+  }
+
+  static create(options: CallerApiOptions): CallerApi {
+    return new CallerApi(options);
+  }
+
+  private async complete(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const bytes = await body.readBody(request, this.limits.maximum_body_bytes);
+    const checked = bytes.andThen((content) => this.checkCompletion(request, content));
+    await this.answer(checked, response);
+  }
+
+  private async callService(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const bytes = await body.readBody(request, this.limits.maximum_body_bytes);
+    const checked = bytes.andThen((content) => this.checkServiceCall(request, content));
+    await this.answer(checked, response);
+  }
+
+  private async answer(
+    checked: Checked<requests.Request>,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    if (checked.isErr()) {
+      httpTask.sendFailure(response, checked.error);
+      return;
+    }
+    const request = checked.value;
+    const sink = request.isStreamed ? createSink(response) : undefined;
+    const result = await this.options.dispatcher.serve(request, sink);
+    if (result.isErr()) {
+      httpTask.sendFailure(response, result.error);
+      return;
+    }
+    sendAnswer(response, result.value);
+  }
+
+  private get limits(): configuration.Limits {
+    return this.options.configuration.current.configuration.limits;
+  }
+
+  private checkCompletion(
+    request: httpTask.RoutedRequest,
+    content: Buffer,
+  ): Checked<requests.Request> {
+    const { engine: service } = request.params;
+    const engine = this.options.configuration.current.configuration.engines.get(service);
+    if (!engine) return refuseUnknown('unknown-service', service);
+    return this.checkCommon(request).andThen((common) =>
+      body.parseJson(content, completionSchema).map((completion) => ({
+        ...common,
+        service,
+        path: '/v1/completions',
+        body: content,
+        isIdempotent: true,
+        isStreamed: completion.stream !== false,
+        affinityHash: decisions.hashText(
+          completion.prefix ?? completion.prompt.slice(0, PREFIX_CHARACTERS),
+        ),
+        model: completion.model ?? engine.model,
+      })),
+    );
+  }
+
+  private checkServiceCall(
+    request: httpTask.RoutedRequest,
+    content: Buffer,
+  ): Checked<requests.Request> {
+    const { service } = request.params;
+    const plain = this.options.configuration.current.configuration.services.get(service);
+    if (!plain) return refuseUnknown('unknown-service', service);
+    const path = request.url.slice(`/v1/services/${service}`.length);
+    return this.checkCommon(request).map((common) => ({
+      ...common,
+      service,
+      path,
+      body: content,
+      isIdempotent: isIdempotent(request, path, plain),
+      isStreamed: false,
+      affinityHash: undefined,
+      model: undefined,
+    }));
+  }
+
+  private checkCommon(request: httpTask.RoutedRequest) {
+    return this.checkReady()
+      .andThen(() => this.checkCaller(request))
+      .andThen((caller) =>
+        this.checkDeadline(request).map((deadlineMs) => ({
+          method: request.method ?? 'GET',
+          contentType: request.headers['content-type'],
+          requestId: readHeader(request, headers.Header.RequestId),
+          tenant: caller.tenant,
+          tenantShare: caller.share,
+          className: caller.className,
+          priority: caller.priority,
+          deadlineMs,
+        })),
+      );
+  }
+
+  private checkReady(): Checked<void> {
+    if (this.options.isDraining()) return neverthrow.err(decisions.createFailure('draining'));
+    if (this.options.configuration.isConfirmed()) return neverthrow.ok(undefined);
+    return neverthrow.err(decisions.createFailure('revision-unconfirmed'));
+  }
+
+  private checkCaller(request: httpTask.RoutedRequest): Checked<Caller> {
+    const { tenants, classes } = this.options.configuration.current.configuration;
+    const name = readHeader(request, headers.Header.Tenant) ?? '';
+    const tenant = tenants.get(name);
+    if (!tenant) return refuseUnknown('unknown-tenant', name);
+    if (!hasToken(request, tenant)) {
+      return neverthrow.err(decisions.createFailure('unauthorized'));
+    }
+    const { priority } = classes.get(tenant.class) as configuration.PriorityClass;
+    return neverthrow.ok({
+      tenant: name,
+      share: tenant.share,
+      className: tenant.class,
+      priority,
+    });
+  }
+
+  private checkDeadline(request: httpTask.RoutedRequest): Checked<number> {
+    const { default_deadline_ms: standard, maximum_deadline_ms: maximum } = this.limits;
+    const text = readHeader(request, headers.Header.DeadlineMs);
+    const durationMs = text === undefined ? standard : Number(text);
+    const isValid = Number.isInteger(durationMs) && durationMs >= 1 && durationMs <= maximum;
+    if (!isValid) {
+      const detail = `from 1 to ${maximum} ms, not "${text}"`;
+      return neverthrow.err(decisions.createFailure('bad-deadline', { detail }));
+    }
+    return neverthrow.ok(this.options.clock.nowMs() + durationMs);
+  }
+}
+
+function refuseUnknown(
+  code: 'unknown-service' | 'unknown-tenant',
+  name: string,
+): neverthrow.Err<never, decisions.Failure> {
+  return neverthrow.err(decisions.createFailure(code, { detail: `"${name.slice(0, 100)}"` }));
+}
+
+/** Whether a call may be repeated: the caller's word first, then the configuration's. */
+function isIdempotent(
+  request: httpTask.RoutedRequest,
+  path: string,
+  service: configuration.PlainService,
+): boolean {
+  const said = readHeader(request, headers.Header.Idempotent);
+  if (said !== undefined) return said === 'true';
+  const call = `${request.method} ${path.split('?')[0]}`;
+  return !service.non_idempotent.some((pattern) => call.startsWith(pattern));
+}
+
+function hasToken(request: http.IncomingMessage, tenant: configuration.Tenant): boolean {
+  if (tenant.token_sha256 === undefined) return true;
+  const { authorization } = request.headers;
+  if (!authorization?.startsWith(TOKEN_PREFIX)) return false;
+  const token = authorization.slice(TOKEN_PREFIX.length);
+  const digest = crypto.createHash('sha256').update(token).digest();
+  const expected = Buffer.from(tenant.token_sha256, 'hex');
+  return expected.length === digest.length && crypto.timingSafeEqual(digest, expected);
+}
+
+function readHeader(request: http.IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function createSink(response: http.ServerResponse): requests.Sink {
+  let resume = (): void => {};
+  response.on('drain', () => resume());
+  return {
+    head: () => {
+      if (response.headersSent) return;
+      response.writeHead(200, {
+        'content-type': 'text/event-stream',
+        [headers.Header.Verdict]: decisions.VerdictKind.Ran,
+      });
+    },
+    write: (bytes) => response.write(bytes),
+    onDrain: (callback) => {
+      resume = callback;
+    },
+    onClose: (abort) => {
+      response.on('close', () => {
+        if (!response.writableFinished) abort();
+      });
+    },
+  };
+}
+
+function sendAnswer(response: http.ServerResponse, answer: requests.Answer): void {
+  if (answer.isStreamed) {
+    response.end();
+    return;
+  }
+  response.writeHead(answer.status, {
+    ...(answer.contentType && { 'content-type': answer.contentType }),
+    'content-length': answer.body.length,
+    [headers.Header.Verdict]: decisions.VerdictKind.Ran,
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/directory.ts
@@ -0,0 +1,200 @@
+/**
+ * The targets as one entry sees them: who they are, whether they may get new work, and what the
+ * routing policy needs to know. Fed by the links task, read by the calls.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
+import * as forwarders from '../core/forwarder';
+import * as averages from '../utils/average';
+
+/** A target that said hello on its link. */
+export interface DirectoryTarget {
+  readonly hello: links.TargetHello;
+  readonly candidate: decisions.Candidate;
+  readonly health: decisions.HealthTracker;
+  readonly forwarder: forwarders.Forwarder;
+  readonly serviceTime: averages.MovingAverage;
+  readonly joinedMs: number;
+  isLeaving: boolean;
+  lastHeardMs: number;
+  weightVersions: Readonly<Record<string, number | null>>;
+  revision: number;
+}
+
+/** What a request asks of its target. */
+export interface TargetQuery {
+  readonly service: string;
+  readonly placement: decisions.Placement;
+  /** Names of targets that were tried already. */
+  readonly excluded: ReadonlySet<string>;
+  /** The model whose weight version the target must know; undefined for plain services. */
+  readonly model: string | undefined;
+}
+
+/** A target that has not been heard from for this long gets no new work. */
+const SILENCE_BOUND_MS = 1800;
+
+const SERVICE_TIME_WEIGHT = 0.1;
+const SLOW_START_MS = 10_000;
+const INITIAL_WARMTH = 0.3;
+const DEFAULT_CAPACITY = 8;
+
+/** The targets of all services. */
+export class Directory {
+  private readonly services = new Map<string, Map<string, DirectoryTarget>>();
+
+  private readonly capacities = new Map<string, number>();
+
+  private constructor(
+    private readonly failureDomain: string,
+    private readonly policy: decisions.Policy,
+    private readonly clock: decisions.Clock,
+  ) {}
+
+  static create(
+    failureDomain: string,
+    policy: decisions.Policy,
+    clock: decisions.Clock,
+  ): Directory {
+    return new Directory(failureDomain, policy, clock);
+  }
+
+  /** Sets the capacity of every target of a service, from the configuration. */
+  setCapacity(service: string, capacity: number): void {
+    this.capacities.set(service, capacity);
+    this.list(service).forEach((target) => {
+      target.candidate.capacity = capacity;
+    });
+  }
+
+  /** Adds a target, or replaces the former incarnation under the same name. */
+  add(hello: links.TargetHello): void {
+    const targets = this.services.get(hello.service) ?? new Map<string, DirectoryTarget>();
+    this.services.set(hello.service, targets);
+    const known = targets.get(hello.name);
+    if (known && known.hello.incarnation > hello.incarnation) return;
+    if (known?.hello.incarnation === hello.incarnation) {
+      known.lastHeardMs = this.clock.nowMs();
+      return;
+    }
+    targets.set(hello.name, this.createTarget(hello, targets.size > 0));
+  }
+
+  /** Takes a load report. */
+  noteLoad(service: string, name: string, load: links.Load): void {
+    const target = this.services.get(service)?.get(name);
+    if (!target) return;
+    const { candidate } = target;
+    target.lastHeardMs = this.clock.nowMs();
+    target.weightVersions = load.weightVersions;
+    target.revision = load.revision;
+    candidate.reportedLoad = load.queued + load.running;
+    candidate.inFlightAtReport = candidate.inFlight;
+  }
+
+  /** Takes the load that came with an answer: `running;queued`. */
+  noteAnswerLoad(target: DirectoryTarget, text: string): void {
+    const [running, queued] = text.split(';').map(Number);
+    if (!Number.isFinite(running) || !Number.isFinite(queued)) return;
+    target.lastHeardMs = this.clock.nowMs();
+    target.candidate.reportedLoad = running + queued;
+    target.candidate.inFlightAtReport = target.candidate.inFlight;
+  }
+
+  /** Notes that a target takes no new work. */
+  noteLeaving(service: string, name: string): void {
+    const target = this.services.get(service)?.get(name);
+    if (target) target.isLeaving = true;
+  }
+
+  /** Forgets a target whose link is gone; requests in flight go on. */
+  remove(service: string, name: string, incarnation: number): void {
+    const target = this.services.get(service)?.get(name);
+    if (target?.hello.incarnation === incarnation) this.services.get(service)?.delete(name);
+  }
+
+  /** All targets of a service. */
+  list(service: string): DirectoryTarget[] {
+    return [...(this.services.get(service)?.values() ?? [])];
+  }
+
+  /** All targets of all services. */
+  listAll(): DirectoryTarget[] {
+    return [...this.services.keys()].flatMap((service) => this.list(service));
+  }
+
+  /** The targets of a service that may get new work. */
+  listAvailable(service: string, model: string | undefined): DirectoryTarget[] {
+    const nowMs = this.clock.nowMs();
+    const reachable = this.list(service).filter(
+      (target) =>
+        !target.isLeaving &&
+        nowMs - target.lastHeardMs <= SILENCE_BOUND_MS &&
+        holdsModel(target, model),
+    );
+    const healthy = reachable.filter(
+      (target) => target.health.getHealth(nowMs) !== decisions.Health.Ejected,
+    );
+    // When most targets look bad, the fault is more likely here or common to all.
+    return healthy.length * 2 >= reachable.length ? healthy : reachable;
+  }
+
+  /** Chooses a target; undefined when none may get the request. */
+  choose(query: TargetQuery): DirectoryTarget | undefined {
+    const nowMs = this.clock.nowMs();
+    const available = this.listAvailable(query.service, query.model).filter(
+      (target) => !query.excluded.has(target.hello.name),
+    );
+    available.forEach((target) => {
+      target.candidate.warmth = measureWarmth(target, nowMs);
+    });
+    const candidates = available.map((target) => target.candidate);
+    const chosen = this.policy.choose(query.placement, candidates);
+    return available.find((target) => target.candidate === chosen);
+  }
+
+  /** Room for more requests over all targets of a service, other entries' load taken into account. */
+  countRoom(service: string, model: string | undefined): number {
+    return this.listAvailable(service, model).reduce((sum, { candidate }) => {
+      const room = candidate.capacity - decisions.estimateLoad(candidate);
+      return sum + Math.max(0, room);
+    }, 0);
+  }
+
+  private createTarget(hello: links.TargetHello, isJoiningLate: boolean): DirectoryTarget {
+    const nowMs = this.clock.nowMs();
+    return {
+      hello,
+      candidate: {
+        name: hello.name,
+        nameHash: decisions.hashText(hello.name),
+        isLocal: hello.failureDomain === this.failureDomain,
+        inFlight: 0,
+        reportedLoad: 0,
+        inFlightAtReport: 0,
+        capacity: this.capacities.get(hello.service) ?? DEFAULT_CAPACITY,
+        serviceTimeMs: 1,
+        warmth: 1,
+      },
+      health: decisions.HealthTracker.create(),
+      forwarder: forwarders.Forwarder.create(`http://${hello.address}:${hello.httpPort}`),
+      serviceTime: averages.MovingAverage.create(SERVICE_TIME_WEIGHT, 1),
+      joinedMs: isJoiningLate ? nowMs : -Infinity,
+      isLeaving: false,
+      lastHeardMs: nowMs,
+      weightVersions: {},
+      revision: 0,
+    };
+  }
+}
+
+function holdsModel(target: DirectoryTarget, model: string | undefined): boolean {
+  if (model === undefined) return true;
+  const version = target.weightVersions[model];
+  return version !== undefined && version !== null;
+}
+
+function measureWarmth(target: DirectoryTarget, nowMs: number): number {
+  const share = (nowMs - target.joinedMs) / SLOW_START_MS;
+  return Math.min(1, INITIAL_WARMTH + (1 - INITIAL_WARMTH) * share);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -0,0 +1,100 @@
+/**
+ * Takes a checked request through admission, claim and call. Callers' requests, samples and scores
+ * all go this way.
+ */
+import * as decisions from '@azureworks/decisions';
+import * as neverthrow from 'neverthrow';
+import type * as platform from '@azureworks/platform';
+import type * as admissions from './admission';
+import * as calls from './call';
+import * as claims from './claims';
+import type * as requests from './request';
+import type * as settlements from './settlement';
+
+/** Serves requests of one entry. */
+export class Dispatcher {
+  private constructor(
+    readonly context: calls.CallContext,
+    private readonly admission: admissions.Admission,
+    private readonly tables: platform.TableService,
+  ) {}
+
+  static create(
+    context: calls.CallContext,
+    admission: admissions.Admission,
+    tables: platform.TableService,
+  ): Dispatcher {
+    return new Dispatcher(context, admission, tables);
+  }
+
+  /** Serves a request; the sink receives a streamed answer as it arrives. */
+  serve(request: requests.Request, sink?: requests.Sink): Promise<calls.CallResult> {
+    return this.measure(request, () => this.serveAdmitted(request, sink));
+  }
+
+  /** Admits and runs a call that its owner keeps a hold of. */
+  serveCall(request: requests.Request, call: calls.Call): Promise<calls.CallResult> {
+    return this.measure(request, async () => {
+      const admitted = await this.admission.admit(request);
+      return admitted.isErr() ? neverthrow.err(admitted.error) : call.run();
+    });
+  }
+
+  private async measure(
+    request: requests.Request,
+    serve: () => Promise<calls.CallResult>,
+  ): Promise<calls.CallResult> {
+    const startMs = this.context.clock.nowMs();
+    const result = await serve();
+    const outcome = result.isOk() ? 'ran' : result.error.code;
+    const labels = { class: request.className, service: request.service };
+    this.context.metrics.count('requests', { ...labels, outcome });
+    if (result.isOk()) {
+      const durationMs = this.context.clock.nowMs() - startMs;
+      this.context.metrics.record('request_ms', { ...labels, tenant: request.tenant }, durationMs);
+    }
+    return result;
+  }
+
+  private async serveAdmitted(
+    request: requests.Request,
+    sink: requests.Sink | undefined,
+  ): Promise<calls.CallResult> {
+    const admitted = await this.admission.admit(request);
+    if (admitted.isErr()) return neverthrow.err(admitted.error);
+    if (!request.isIdempotent && request.requestId) return this.serveClaimed(request);
+    const call = calls.Call.create(this.context, request, sink);
+    sink?.onClose(() => call.abort());
+    return call.run();
+  }
+
+  /** A caller that goes away does not end a claimed request: its answer is kept for the next try. */
+  private async serveClaimed(request: requests.Request): Promise<calls.CallResult> {
+    const { clock, metrics } = this.context;
+    const key = `${request.service}:${request.tenant}:${request.requestId}`;
+    const claim = claims.Claim.create(this.tables, key, clock, request.deadlineMs, metrics);
+    let known: requests.Answer | undefined;
+    const permit = async (
+      place: settlements.AttemptPlace,
+    ): Promise<neverthrow.Result<void, decisions.Failure>> => {
+      const outcome = await claim.acquire(place);
+      if (outcome.kind === 'granted') return neverthrow.ok(undefined);
+      if (outcome.kind === 'refused') return neverthrow.err(outcome.failure);
+      known = outcome.answer;
+      return neverthrow.err(decisions.createFailure('request-in-progress'));
+    };
+    const result = await calls.Call.create(this.context, request, undefined, permit).run();
+    if (known) return neverthrow.ok(known);
+    await closeClaim(claim, result);
+    return result;
+  }
+}
+
+async function closeClaim(claim: claims.Claim, result: calls.CallResult): Promise<void> {
+  if (result.isErr()) {
+    if (result.error.verdict === decisions.VerdictKind.NotRun) await claim.release();
+    return;
+  }
+  // The answer need not wait for the record: until it is written, the target's ledger has it.
+  claim.record(result.value).catch(() => {});
+}
--- /dev/null
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -0,0 +1,348 @@
+/**
+ * Membership: which entries there are and which target VMs to link to.
+ *
+ * The VM list seeds the view and lags; exchanges with the other entries decide. An entry that does
+ * not answer is probed through others before it is suspected, and a suspicion can be refuted.
+ */
+import * as decisions from '@azureworks/decisions';
+import * as links from '@azureworks/links';
+import * as neverthrow from 'neverthrow';
+import type * as platform from '@azureworks/platform';
+import type * as logs from '../core/log';
+import type * as metrics from '../core/metrics';
+import type * as supervisors from '../core/supervisor';
+import * as topics from '../core/topic';
+import type * as configurationTask from './configuration-task';
+import type * as rolloutTask from '../rollout/rollout-task';
+import type * as knowledge from './knowledge';
+
+/** Makes groups for other entries. */
+export interface GroupRunner {
+  run(order: links.GroupOrder): Promise<neverthrow.Result<links.GroupResult, decisions.Failure>>;
+}
+
+/** What the membership task needs. */
+export interface MembershipTaskOptions {
+  readonly self: Omit<links.Member, 'controlPort' | 'httpPort' | 'state'>;
+  readonly controlPort: number;
+  readonly credentials: links.CredentialSource;
+  readonly vms: platform.VmList;
+  readonly configuration: configurationTask.ConfigurationTask;
+  readonly knowledge: knowledge.Knowledge;
+  readonly metrics: metrics.Metrics;
+  readonly log: logs.Log;
+  readonly clock: decisions.Clock;
+  readonly random: decisions.Random;
+  readHttpPort(): number;
+}
+
+const EXCHANGE_INTERVAL_MS = 500;
+const EXCHANGE_TIMEOUT_MS = 400;
+const PROBE_TIMEOUT_MS = 600;
+const PUSH_TIMEOUT_MS = 1500;
+const RUN_EXTRA_TIMEOUT_MS = 1000;
+const PULL_TIMEOUT_MS = 2000;
+const VM_POLL_INTERVAL_MS = 1000;
+const PEERS_PER_ROUND = 3;
+const PROBING_PEERS = 2;
+const LARGEST_NEWS = 32;
+const LARGEST_PUSH = 16;
+
+/** Keeps the view of the entries. */
+export class MembershipTask
+  implements
+    supervisors.Task,
+    links.PeerHandlers,
+    configurationTask.Spreader,
+    rolloutTask.GroupPlacement
+{
+  readonly name = 'membership';
+
+  /** Published with the VM list after every successful read. */
+  readonly vmLists = topics.Topic.create<readonly platform.Vm[]>();
+
+  private view: decisions.MemberView<links.Member> | undefined;
+
+  private readonly clients = new Map<string, links.PeerClient>();
+
+  private server: links.ControlServer | undefined;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private listedEntries: string[] = [];
+
+  private boundPort = 0;
+
+  private groupRunner: GroupRunner | undefined;
+
+  private constructor(private readonly options: MembershipTaskOptions) {
+    options.metrics.gauge('peers', {}, () => this.listPeers().length);
+  }
+
+  static create(options: MembershipTaskOptions): MembershipTask {
+    return new MembershipTask(options);
+  }
+
+  /** Connects the task to the executor of groups, which is created later. */
+  setGroupRunner(groupRunner: GroupRunner): void {
+    this.groupRunner = groupRunner;
+  }
+
+  /** The port taken. */
+  get controlPort(): number {
+    return this.boundPort;
+  }
+
+  async start(): Promise<void> {
+    const { self, controlPort, credentials } = this.options;
+    this.server = links.ControlServer.create(credentials);
+    this.server.addPeerService(this);
+    this.boundPort = await this.server.listen(self.address, this.boundPort || controlPort);
+    const own = {
+      ...self,
+      controlPort: this.boundPort,
+      httpPort: this.options.readHttpPort(),
+      state: links.MemberState.Alive,
+    };
+    this.view = decisions.MemberView.create<links.Member>(own, this.options.clock);
+    await this.readVms();
+    this.timers = [
+      setInterval(() => this.exchangeRound(), EXCHANGE_INTERVAL_MS),
+      setInterval(() => this.readVms(), VM_POLL_INTERVAL_MS),
+    ];
+  }
+
+  async stop(): Promise<void> {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.clients.forEach((client) => client.close());
+    this.clients.clear();
+    this.server?.close();
+  }
+
+  /** Tells the other entries that this one is leaving. */
+  async leave(): Promise<void> {
+    this.view?.setOwnState(links.MemberState.Leaving);
+    await Promise.all(this.listPeers().map((peer) => this.exchangeWith(peer)));
+  }
+
+  /** This entry's own record; undefined before the start. */
+  get self(): links.Member | undefined {
+    return this.view?.self;
+  }
+
+  /** All other entries that are not known to be dead. */
+  listPeers(): links.Member[] {
+    return this.view?.listPeers() ?? [];
+  }
+
+  /** The entries that serve, this one included. */
+  listServing(): links.Member[] {
+    const peers = this.listPeers().filter((peer) => peer.state === links.MemberState.Alive);
+    return this.view ? [this.view.self, ...peers] : peers;
+  }
+
+  listServingNames(): string[] {
+    return this.listServing().map((member) => member.name);
+  }
+
+  async run(order: links.GroupOrder): Promise<links.GroupResult> {
+    const result = await this.groupRunner?.run(order);
+    if (result?.isOk()) return result.value;
+    throw new Error('the group was not made');
+  }
+
+  async runAt(
+    entry: string,
+    order: links.GroupOrder,
+  ): Promise<neverthrow.Result<links.GroupResult, decisions.Failure>> {
+    const peer = this.view?.get(entry);
+    if (!peer) return neverthrow.err(decisions.createFailure('no-target'));
+    const call = this.openClient(peer).run(order, order.remainingMs + RUN_EXTRA_TIMEOUT_MS);
+    let timer: NodeJS.Timeout | undefined;
+    const lost = new Promise<undefined>((resolve) => {
+      timer = setInterval(() => {
+        if (this.isLost(peer)) resolve(undefined);
+      }, EXCHANGE_INTERVAL_MS);
+    });
+    const result = await Promise.race([call, lost]);
+    clearInterval(timer);
+    if (!result) return neverthrow.err(decisions.createFailure('target-failed'));
+    return result.mapErr(({ message }) =>
+      decisions.createFailure('target-failed', { detail: message }),
+    );
+  }
+
+  /** Whether an entry is no longer thought to be alive under the same incarnation. */
+  private isLost(peer: links.Member): boolean {
+    const known = this.view?.get(peer.name);
+    return known?.incarnation !== peer.incarnation || known.state === links.MemberState.Dead;
+  }
+
+  listEntries(): string[] {
+    const own = this.options.self.name;
+    const isGone = (name: string): boolean =>
+      this.view?.get(name)?.state === links.MemberState.Leaving;
+    return [...new Set([own, ...this.listedEntries.filter((name) => !isGone(name))])];
+  }
+
+  countEntries(): number {
+    return Math.max(1, this.listPeers().length + 1);
+  }
+
+  exchange(message: links.Exchange): links.Exchange {
+    this.takeExchange(message);
+    return this.createExchange();
+  }
+
+  async probe(message: links.Probe): Promise<links.ProbeAnswer> {
+    const peer = this.view?.get(message.about);
+    return { isReachable: peer ? await this.exchangeWith(peer) : false };
+  }
+
+  pull(request: links.SnapshotRequest): links.Snapshot {
+    return this.options.configuration.createSnapshot(request.revision);
+  }
+
+  push(snapshot: links.Snapshot): links.Acknowledgement {
+    return { revision: this.options.configuration.takeSnapshot(snapshot) };
+  }
+
+  async spread(snapshot: links.Snapshot): Promise<{ held: string[]; missing: string[] }> {
+    const peers = this.listPeers().slice(0, LARGEST_PUSH);
+    const held: string[] = [];
+    const missing: string[] = [];
+    await Promise.all(
+      peers.map(async (peer) => {
+        const isHeld = await this.pushTo(peer, snapshot);
+        (isHeld ? held : missing).push(peer.name);
+      }),
+    );
+    return { held, missing };
+  }
+
+  private async pushTo(peer: links.Member, snapshot: links.Snapshot): Promise<boolean> {
+    const result = await this.openClient(peer).push(snapshot, PUSH_TIMEOUT_MS);
+    if (result.isErr()) return false;
+    if (result.value.revision >= snapshot.revision) return true;
+    const whole = this.options.configuration.createSnapshot(-1);
+    const again = await this.openClient(peer).push(whole, PUSH_TIMEOUT_MS);
+    return again.isOk() && again.value.revision >= snapshot.revision;
+  }
+
+  async pullFrom(
+    name: string,
+    request: links.SnapshotRequest,
+  ): Promise<links.Snapshot | undefined> {
+    const peer = this.view?.get(name);
+    if (!peer) return undefined;
+    const result = await this.openClient(peer).pull(request, PULL_TIMEOUT_MS);
+    return result.isOk() ? result.value : undefined;
+  }
+
+  private exchangeRound(): void {
+    const peers = this.listPeers();
+    this.pick(peers, PEERS_PER_ROUND).forEach((peer) => {
+      this.checkPeer(peer).catch(() => {});
+    });
+    this.view?.expireSuspects().forEach((member) => {
+      this.options.log.change('entry dead', { entry: member.name });
+    });
+  }
+
+  private async checkPeer(peer: links.Member): Promise<void> {
+    if (await this.exchangeWith(peer)) return;
+    const others = this.listPeers().filter((other) => other.name !== peer.name);
+    const probe = { from: this.options.self.name, about: peer.name };
+    const answers = await Promise.all(
+      this.pick(others, PROBING_PEERS).map((other) =>
+        this.openClient(other).probe(probe, PROBE_TIMEOUT_MS),
+      ),
+    );
+    if (answers.some((answer) => answer.isOk() && answer.value.isReachable)) return;
+    this.view?.suspect(peer.name);
+  }
+
+  private async exchangeWith(peer: links.Member): Promise<boolean> {
+    const client = this.openClient(peer);
+    const result = await client.exchange(this.createExchange(), EXCHANGE_TIMEOUT_MS);
+    this.options.metrics.count('exchanges', { ok: String(result.isOk()) });
+    if (result.isErr()) return false;
+    this.takeExchange(result.value);
+    return true;
+  }
+
+  private createExchange(): links.Exchange {
+    const view = this.view as decisions.MemberView<links.Member>;
+    const { configuration, knowledge } = this.options;
+    return {
+      from: view.self,
+      members: view.takeNews(LARGEST_NEWS),
+      revision: configuration.current.revision,
+      confirmedAgoMs: configuration.getConfirmedAgeMs(),
+      positions: knowledge.listPositions(),
+      orders: knowledge.listOrders(),
+    };
+  }
+
+  private takeExchange(message: links.Exchange): void {
+    const { configuration, knowledge } = this.options;
+    [message.from, ...message.members].forEach((member) => {
+      if (this.view?.merge(member)) this.noteMember(member);
+    });
+    this.view?.noteAnswer(message.from.name);
+    configuration.noteExchange(message.from.name, message.revision, message.confirmedAgoMs);
+    message.positions.forEach((position) => knowledge.notePosition(position));
+    message.orders.forEach((order) => knowledge.noteOrder(order));
+  }
+
+  private noteMember(member: links.Member): void {
+    const { name, state, incarnation } = member;
+    this.options.log.change('entry', { entry: name, state, incarnation });
+  }
+
+  private openClient(peer: links.Member): links.PeerClient {
+    const address = `${peer.address}:${peer.controlPort}`;
+    const existing = this.clients.get(address);
+    if (existing) return existing;
+    const client = links.PeerClient.create(address, this.options.credentials);
+    this.clients.set(address, client);
+    return client;
+  }
+
+  private pick(peers: readonly links.Member[], count: number): links.Member[] {
+    const pool = [...peers];
+    const picked: links.Member[] = [];
+    while (picked.length < count && pool.length > 0) {
+      const index = Math.floor(this.options.random.next() * pool.length);
+      picked.push(...pool.splice(index, 1));
+    }
+    return picked;
+  }
+
+  private async readVms(): Promise<void> {
+    const result = await this.options.vms.read();
+    if (result.isErr()) return;
+    const entries = result.value.filter((vm) => vm.role === 'entry');
+    this.listedEntries = entries.map((vm) => vm.name);
+    entries.forEach((vm) => this.seed(vm));
+    this.vmLists.publish(result.value);
+  }
+
+  /** Takes an entry from the VM list; the list's word is the weakest there is. */
+  private seed(vm: platform.Vm): void {
+    const known = this.view?.get(vm.name);
+    const isElsewhere = known && known.controlPort !== vm.controlPort;
+    if (known && !(known.state === links.MemberState.Dead && isElsewhere)) return;
+    const { name, address, httpPort, controlPort, failureDomain, region } = vm;
+    this.view?.merge({
+      name,
+      address,
+      httpPort,
+      controlPort,
+      failureDomain,
+      region,
+      incarnation: known ? known.incarnation + 1 : 0,
+      state: links.MemberState.Alive,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/operator-api.ts
@@ -0,0 +1,157 @@
+/**
+ * The HTTP surface towards operators: configuration changes, history and status.
+ */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as configuration from '@azureworks/configuration';
+import * as decisions from '@azureworks/decisions';
+import * as zod from 'zod';
+import * as body from '../core/body';
+import * as httpTask from '../core/http-task';
+import type * as configurationTask from './configuration-task';
+import type * as stores from './configuration-store';
+import type * as directories from './directory';
+import type * as membershipTask from './membership-task';
+
+/** What the operators' surface needs. */
+export interface OperatorApiOptions {
+  readonly http: httpTask.HttpTask;
+  readonly configuration: configurationTask.ConfigurationTask;
+  readonly store: stores.ConfigurationStore;
+  readonly membership: membershipTask.MembershipTask;
+  readonly directory: directories.Directory;
+  /** The operators' token; undefined when none is asked for. */
+  readToken(): string | undefined;
+}
+
+const fileName = zod.string().regex(/^[\w.-]+\.ini$/, 'a file name that ends in .ini');
+
+const changeSchema = zod.object({
+  id: zod.string().regex(/^[\w-]{8,64}$/),
+  baseRevision: zod.number().int().min(0),
+  put: zod.record(fileName, zod.string()),
+  remove: zod.array(fileName),
+  author: zod.string().max(100).default('unknown'),
+});
+
+const LARGEST_CHANGE_BYTES = 8 * 1024 * 1024;
+const OK = 200;
+
+/** Serves operators. */
+export class OperatorApi {
+  private constructor(private readonly options: OperatorApiOptions) {
+    this.add('post', '/v1/configuration/changes', (request, response) =>
+      this.change(request, response),
+    );
+    this.add('get', '/v1/configuration', (_request, response) => this.show(response));
+    this.add('get', '/v1/configuration/history', (_request, response) => this.history(response));
+    this.add('get', '/v1/configuration/changes/:id', (request, response) =>
+      this.find(request, response),
+    );
+    this.add('get', '/v1/status', (_request, response) => this.status(response));
+  }
+
+  static create(options: OperatorApiOptions): OperatorApi {
+    return new OperatorApi(options);
+  }
+
+  private add(method: httpTask.Method, path: string, handler: httpTask.Handler): void {
+    this.options.http.add(method, path, (request, response) => {
+      if (this.isAllowed(request)) return handler(request, response);
+      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
+      return undefined;
+    });
+  }
+
+  private isAllowed(request: http.IncomingMessage): boolean {
+    const token = this.options.readToken();
+    if (token === undefined) return true;
+    const digest = (text: string): Buffer => crypto.createHash('sha256').update(text).digest();
+    const given = request.headers.authorization ?? '';
+    return crypto.timingSafeEqual(digest(given), digest(`Bearer ${token}`));
+  }
+
+  private async change(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const parsed = await body.readJson(request, LARGEST_CHANGE_BYTES, changeSchema);
+    if (parsed.isErr()) {
+      httpTask.sendFailure(response, parsed.error);
+      return;
+    }
+    const { author, ...change } = parsed.value;
+    const result = await this.options.configuration.accept(change, author);
+    if (result.isOk()) {
+      httpTask.sendJson(response, OK, result.value);
+      return;
+    }
+    sendRejection(response, result.error);
+  }
+
+  private show(response: http.ServerResponse): void {
+    const { revision, files } = this.options.configuration.current;
+    httpTask.sendJson(response, OK, { revision, files });
+  }
+
+  private async history(response: http.ServerResponse): Promise<void> {
+    const result = await this.options.store.readHistory();
+    if (result.isOk()) httpTask.sendJson(response, OK, { changes: result.value });
+    else httpTask.sendFailure(response, decisions.createFailure('store-unavailable'));
+  }
+
+  private async find(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const result = await this.options.store.findChange(request.params.id);
+    if (result.isErr()) {
+      httpTask.sendFailure(response, decisions.createFailure('store-unavailable'));
+      return;
+    }
+    if (result.value) httpTask.sendJson(response, OK, result.value);
+    else httpTask.sendFailure(response, decisions.createFailure('not-found'));
+  }
+
+  private status(response: http.ServerResponse): void {
+    const { configuration: task, membership, directory } = this.options;
+    const targets = directory.listAll().map((target) => ({
+      name: target.hello.name,
+      service: target.hello.service,
+      failureDomain: target.hello.failureDomain,
+      incarnation: target.hello.incarnation,
+      isLeaving: target.isLeaving,
+      revision: target.revision,
+      weightVersions: target.weightVersions,
+    }));
+    httpTask.sendJson(response, OK, {
+      entry: membership.self?.name,
+      revision: task.current.revision,
+      confirmedAgoMs: task.getConfirmedAgeMs(),
+      entries: membership.listPeers().map(({ name, state, incarnation, address, httpPort }) => ({
+        name,
+        state,
+        incarnation,
+        url: `http://${address}:${httpPort}`,
+      })),
+      targets,
+    });
+  }
+}
+
+function sendRejection(
+  response: http.ServerResponse,
+  rejection: configurationTask.Rejection,
+): void {
+  const { failure, conflict, errors } = rejection;
+  const { code, verdict, message } = failure;
+  httpTask.sendJson(response, decisions.getStatus(failure), {
+    error: {
+      code,
+      verdict,
+      message,
+      ...(conflict && { conflict }),
+      ...(errors && { errors: errors.map(configuration.formatSettingError) }),
+    },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** Public entry of the daemon package. */
+export { Header } from './types/headers';
--- /dev/null
+++ b/packages/daemon/src/rollout/group-executor.ts
@@ -0,0 +1,146 @@
+/**
+ * Makes groups for whichever entry asks: every group is run once here, however often it is asked
+ * for, and its result is remembered for a while.
+ */
+import type * as configuration from '@azureworks/configuration';
+import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
+import * as neverthrow from 'neverthrow';
+import type * as platform from '@azureworks/platform';
+import type * as metrics from '../core/metrics';
+import type * as supervisors from '../core/supervisor';
+import type * as configurationTask from '../entry/configuration-task';
+import type * as dispatchers from '../entry/dispatcher';
+import type * as knowledge from '../entry/knowledge';
+import * as averages from '../utils/average';
+import * as groupRuns from './group-run';
+import type * as sampleRuns from './sample-run';
+
+/** What the executor needs. */
+export interface GroupExecutorOptions {
+  readonly configuration: configurationTask.ConfigurationTask;
+  readonly dispatcher: dispatchers.Dispatcher;
+  readonly knowledge: knowledge.Knowledge;
+  readonly objects: platform.ObjectStore;
+  readonly metrics: metrics.Metrics;
+  readonly clock: decisions.Clock;
+}
+
+type GroupOutcome = neverthrow.Result<links.GroupResult, decisions.Failure>;
+
+interface Execution {
+  readonly run: groupRuns.GroupRun;
+  readonly outcome: Promise<GroupOutcome>;
+}
+
+const RETENTION_MS = 60_000;
+const STRAGGLER_CHECK_INTERVAL_MS = 200;
+const RATE_WEIGHT = 0.05;
+const LARGEST_BUDGET = 100;
+
+/** Runs groups, each once. */
+export class GroupExecutor implements supervisors.Task {
+  readonly name = 'group-executor';
+
+  private readonly executions = new Map<string, Execution>();
+
+  /** Typical progress of a sample, in bytes a millisecond. */
+  private readonly typicalRate = averages.MovingAverage.create(RATE_WEIGHT, 0);
+
+  /** Samples that may still be moved; filled by the samples that are begun. */
+  private moveBudget = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: GroupExecutorOptions) {
+    options.knowledge.newPositions.subscribe((position) => this.notePosition(position));
+    options.metrics.gauge('groups_running', {}, () => this.executions.size);
+  }
+
+  static create(options: GroupExecutorOptions): GroupExecutor {
+    return new GroupExecutor(options);
+  }
+
+  async start(): Promise<void> {
+    this.timer = setInterval(() => this.moveStragglers(), STRAGGLER_CHECK_INTERVAL_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.executions.forEach((execution) => execution.run.abort());
+  }
+
+  /** Makes a group, or joins the run that is under way. */
+  run(order: links.GroupOrder): Promise<GroupOutcome> {
+    const key = groupRuns.createGroupKey(order);
+    const existing = this.executions.get(key);
+    if (existing) return existing.outcome;
+    const samples = this.createSamples(order);
+    if (samples.isErr()) return Promise.resolve(neverthrow.err(samples.error));
+    const { dispatcher, objects, configuration: task } = this.options;
+    const share = task.current.configuration.limits.second_attempt_share;
+    this.moveBudget = Math.min(LARGEST_BUDGET, this.moveBudget + share * samples.value.length);
+    const run = groupRuns.GroupRun.create({ order, samples: samples.value, dispatcher, objects });
+    const outcome = run.run();
+    this.executions.set(key, { run, outcome });
+    outcome.then((result) => this.noteOutcome(key, result)).catch(() => {});
+    return outcome;
+  }
+
+  private noteOutcome(key: string, outcome: GroupOutcome): void {
+    this.options.metrics.count('groups', { ok: String(outcome.isOk()) });
+    const wasted = this.executions
+      .get(key)
+      ?.run.samples.reduce((sum, sample) => sum + sample.wasted, 0);
+    this.options.metrics.count('sample_bytes_wasted', {}, wasted ?? 0);
+    if (outcome.isErr()) {
+      this.executions.delete(key);
+      return;
+    }
+    setTimeout(() => this.executions.delete(key), RETENTION_MS).unref();
+  }
+
+  private createSamples(
+    order: links.GroupOrder,
+  ): neverthrow.Result<sampleRuns.SampleOrder[], decisions.Failure> {
+    const { configuration } = this.options.configuration.current;
+    const trainer = configuration.trainers.get(order.trainer);
+    const engine = trainer && configuration.engines.get(trainer.engine);
+    if (!trainer || !engine) return neverthrow.err(decisions.createFailure('unknown-trainer'));
+    const { staleness_bound: stalenessBound } = configuration.deployments.get(
+      trainer.deployment,
+    ) as configuration.Deployment;
+    const { priority } = configuration.classes.get(trainer.class) as configuration.PriorityClass;
+    const deadlineMs = this.options.clock.nowMs() + order.remainingMs;
+    const common = { order, trainer, priority, stalenessBound, deadlineMs };
+    const model = trainer.model ?? engine.model;
+    return neverthrow.ok(
+      Array.from({ length: order.members }, (_, index) => ({
+        ...common,
+        model,
+        index,
+        id: `${order.trainer}/${order.step}/${order.group}/${index}`,
+      })),
+    );
+  }
+
+  private notePosition(position: links.TrainerPosition): void {
+    this.executions.forEach(({ run }) => {
+      if (run.belongsTo(position.trainer)) run.noteVersion(position.version);
+    });
+  }
+
+  private moveStragglers(): void {
+    const runs = [...this.executions.values()].flatMap(({ run }) => run.samples);
+    const progress = runs.flatMap((run) => run.getProgress() ?? []);
+    progress
+      .filter((sample) => sample.produced > 0)
+      .forEach((sample) => this.typicalRate.add(sample.produced / sample.runningMs));
+    const chosen = decisions.chooseStragglers(progress, this.typicalRate.value, this.moveBudget);
+    chosen.forEach((id) => {
+      runs.find((run) => run.sample.id === id && run.getProgress())?.move();
+      this.moveBudget -= 1;
+      this.options.metrics.count('samples_moved');
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rollout/sample-run.ts
@@ -0,0 +1,200 @@
+/**
+ * Makes one sample: calls the engine until the answer is whole and truthfully labelled, then has
+ * it scored where the trainer has a scoring service.
+ */
+import type * as configuration from '@azureworks/configuration';
+import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
+import * as neverthrow from 'neverthrow';
+import * as calls from '../entry/call';
+import type * as dispatchers from '../entry/dispatcher';
+import type * as requests from '../entry/request';
+import * as pauses from '../utils/pause';
+
+/** What a sample run needs to know. */
+export interface SampleOrder {
+  readonly id: string;
+  /** The position of the sample in its group. */
+  readonly index: number;
+  readonly order: links.GroupOrder;
+  readonly trainer: configuration.Trainer;
+  readonly model: string;
+  readonly priority: number;
+  readonly stalenessBound: number;
+  readonly deadlineMs: number;
+}
+
+const RETRY_PAUSE_MS = 200;
+const SCORE_DEADLINE_MS = 10_000;
+
+/** One sample under way. */
+export class SampleRun {
+  private call: calls.Call | undefined;
+
+  private startVersion: number | undefined;
+
+  private isAborted = false;
+
+  private isRestarting = false;
+
+  private wastedBytes = 0;
+
+  private constructor(
+    readonly sample: SampleOrder,
+    private readonly dispatcher: dispatchers.Dispatcher,
+  ) {}
+
+  static create(sample: SampleOrder, dispatcher: dispatchers.Dispatcher): SampleRun {
+    return new SampleRun(sample, dispatcher);
+  }
+
+  /** Bytes of answers that were given up. */
+  get wasted(): number {
+    return this.wastedBytes;
+  }
+
+  /** How far the sample has come; undefined while it waits. */
+  getProgress(): decisions.SampleProgress | undefined {
+    const progress = this.call?.getProgress();
+    return progress && { id: this.sample.id, ...progress };
+  }
+
+  /** Has another target go on with the sample. */
+  move(): void {
+    this.call?.move();
+  }
+
+  abort(): void {
+    this.isAborted = true;
+    this.call?.abort();
+  }
+
+  /** Begins again with newer weights when the answer under way would be too old. */
+  noteVersion(trainerVersion: number): void {
+    const { stalenessBound } = this.sample;
+    this.startVersion ??= this.call?.joiner.readFirstVersion();
+    if (this.startVersion === undefined) return;
+    if (!decisions.isDoomed(this.startVersion, trainerVersion, stalenessBound)) return;
+    this.isRestarting = true;
+    this.call?.abort();
+  }
+
+  /** Makes the sample; goes on trying until its deadline. */
+  async run(): Promise<neverthrow.Result<links.Sample, decisions.Failure>> {
+    const { clock } = this.dispatcher.context;
+    let failure = decisions.createFailure('deadline-exceeded');
+    while (!this.isAborted && clock.nowMs() < this.sample.deadlineMs) {
+      const result = await this.runOnce();
+      if (result.isOk()) return this.score(result.value);
+      failure = result.error;
+      if (!this.isRestarting) await pauses.pause(RETRY_PAUSE_MS);
+      this.isRestarting = false;
+    }
+    return neverthrow.err(failure);
+  }
+
+  private async runOnce(): Promise<neverthrow.Result<links.Sample, decisions.Failure>> {
+    const { context } = this.dispatcher;
+    this.startVersion = undefined;
+    const request = this.createRequest();
+    const call = calls.Call.create(context, request);
+    this.call = call;
+    const result = await this.dispatcher.serveCall(request, call);
+    this.call = undefined;
+    if (result.isErr()) {
+      this.wastedBytes += call.joiner.size;
+      return neverthrow.err(result.error);
+    }
+    const { weightVersions, totalTokens } = call.joiner.summarize();
+    const known = weightVersions.filter((version) => version !== null);
+    if (known.length === 0 || known.length !== weightVersions.length) {
+      // An answer whose version cannot be known is not a sample: it is made again.
+      context.metrics.count('samples_unlabelled');
+      this.isRestarting = true;
+      this.wastedBytes += call.joiner.size;
+      return neverthrow.err(decisions.createFailure('target-failed', { detail: 'no version' }));
+    }
+    return neverthrow.ok({
+      id: this.sample.id,
+      text: call.joiner.readText(),
+      tokens: totalTokens,
+      weightVersions: known,
+    });
+  }
+
+  private createRequest(): requests.Request {
+    const { order, trainer, model, index, id, priority, deadlineMs } = this.sample;
+    const completion = {
+      model,
+      prompt: order.prompt,
+      prefix: order.prompt,
+      seed: index,
+      max_tokens: order.maximumTokens,
+      ...(order.meanTokens && { mean_tokens: order.meanTokens }),
+      priority,
+      stream: true,
+    };
+    return {
+      ...this.createCommon(id, deadlineMs),
+      service: trainer.engine,
+      path: '/v1/completions',
+      body: Buffer.from(JSON.stringify(completion)),
+      isStreamed: true,
+      affinityHash: decisions.hashText(order.prompt),
+      model,
+    };
+  }
+
+  private createCommon(requestId: string, deadlineMs: number) {
+    const { order, trainer, priority } = this.sample;
+    return {
+      method: 'POST',
+      contentType: 'application/json',
+      requestId,
+      isIdempotent: true,
+      tenant: order.trainer,
+      tenantShare: trainer.share,
+      className: 'trainer',
+      priority,
+      deadlineMs,
+    };
+  }
+
+  private async score(
+    sample: links.Sample,
+  ): Promise<neverthrow.Result<links.Sample, decisions.Failure>> {
+    const { scorer } = this.sample.trainer;
+    const { clock } = this.dispatcher.context;
+    if (scorer === undefined) return neverthrow.ok(sample);
+    while (!this.isAborted && clock.nowMs() < this.sample.deadlineMs) {
+      const result = await this.dispatcher.serve(this.createScoreRequest(scorer, sample));
+      const scored = result.andThen((answer) => readScore(answer.body));
+      if (scored.isOk()) return neverthrow.ok({ ...sample, score: scored.value });
+      await pauses.pause(RETRY_PAUSE_MS);
+    }
+    return neverthrow.err(decisions.createFailure('deadline-exceeded'));
+  }
+
+  private createScoreRequest(scorer: string, sample: links.Sample): requests.Request {
+    const { clock } = this.dispatcher.context;
+    return {
+      ...this.createCommon(`${sample.id}-score`, clock.nowMs() + SCORE_DEADLINE_MS),
+      service: scorer,
+      path: '/score',
+      body: Buffer.from(JSON.stringify({ id: sample.id, text: sample.text })),
+      isStreamed: false,
+      affinityHash: undefined,
+      model: undefined,
+    };
+  }
+}
+
+function readScore(body: Buffer): neverthrow.Result<number, decisions.Failure> {
+  try {
+    const { score } = JSON.parse(body.toString('utf8')) as { score?: unknown };
+    if (typeof score === 'number') return neverthrow.ok(score);
+  } catch {
+    // Reported below, like an answer without a score.
+  }
+  return neverthrow.err(decisions.createFailure('target-failed', { detail: 'no score' }));
+}
--- /dev/null
+++ b/packages/daemon/src/target/links-task.ts
@@ -0,0 +1,168 @@
+/**
+ * The control port of a target daemon: entries open links here. Every link is told who the target
+ * is, how loaded it is and when it leaves; entries send the configuration and weight orders.
+ */
+import * as links from '@azureworks/links';
+import type * as configuration from '@azureworks/configuration';
+import type * as decisions from '@azureworks/decisions';
+import type * as logs from '../core/log';
+import type * as metrics from '../core/metrics';
+import type * as supervisors from '../core/supervisor';
+import * as topics from '../core/topic';
+import type * as states from './target-state';
+import type * as work from './work-task';
+
+/** What the links task needs. */
+export interface LinksTaskOptions {
+  readonly settings: configuration.Settings;
+  readonly incarnation: number;
+  readonly credentials: links.CredentialSource;
+  readonly state: states.TargetState;
+  readonly work: work.WorkTask;
+  readonly metrics: metrics.Metrics;
+  readonly log: logs.Log;
+  readonly clock: decisions.Clock;
+  /** The port of the work server, known once it listens. */
+  readHttpPort(): number;
+}
+
+interface OpenLink {
+  readonly link: links.TargetLink;
+  heartbeatMs: number;
+  sentMs: number;
+}
+
+const DEFAULT_HEARTBEAT_MS = 500;
+const TICK_MS = 100;
+
+/** Serves links from entries. */
+export class LinksTask implements supervisors.Task, links.LinkHandlers {
+  readonly name = 'links';
+
+  /** Weight orders from entries. */
+  readonly orders = topics.Topic.create<links.WeightsOrder>();
+
+  private readonly openLinks = new Map<links.TargetLink, OpenLink>();
+
+  private server: links.ControlServer | undefined;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private boundPort = 0;
+
+  private constructor(private readonly options: LinksTaskOptions) {
+    options.metrics.gauge('links', {}, () => this.openLinks.size);
+    options.metrics.gauge('revision', {}, () => options.state.revision);
+  }
+
+  static create(options: LinksTaskOptions): LinksTask {
+    return new LinksTask(options);
+  }
+
+  /** The port taken. */
+  get controlPort(): number {
+    return this.boundPort;
+  }
+
+  async start(): Promise<void> {
+    const { daemon } = this.options.settings;
+    const server = links.ControlServer.create(this.options.credentials);
+    server.addLinkService(this);
+    this.server = server;
+    this.boundPort = await server.listen(daemon.address, this.boundPort || daemon.control_port);
+    this.timer = setInterval(() => this.sendHeartbeats(), TICK_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.server?.close();
+    this.openLinks.clear();
+  }
+
+  /** Tells every entry that the target is leaving. */
+  announceLeaving(): void {
+    this.openLinks.forEach(({ link }) => link.send({ kind: links.LinkMessageKind.Leaving }));
+  }
+
+  /** Sends the load to every entry at once. */
+  announceLoad(): void {
+    this.openLinks.forEach((openLink) => this.sendLoad(openLink));
+  }
+
+  open(link: links.TargetLink): void {
+    const { settings, incarnation } = this.options;
+    const { daemon, target } = settings;
+    if (!target) return;
+    const openLink = { link, heartbeatMs: DEFAULT_HEARTBEAT_MS, sentMs: -Infinity };
+    this.openLinks.set(link, openLink);
+    link.send({
+      kind: links.LinkMessageKind.TargetHello,
+      name: daemon.name,
+      service: target.service,
+      targetKind: target.kind,
+      failureDomain: daemon.failure_domain,
+      region: daemon.region,
+      address: daemon.address,
+      httpPort: this.options.readHttpPort(),
+      incarnation,
+    });
+    if (this.options.state.isDraining) link.send({ kind: links.LinkMessageKind.Leaving });
+    this.sendLoad(openLink);
+  }
+
+  receive(link: links.TargetLink, message: links.EntryMessage): void {
+    const openLink = this.openLinks.get(link);
+    if (!openLink) return;
+    if (message.kind === links.LinkMessageKind.EntryHello) {
+      openLink.heartbeatMs = message.heartbeatMs;
+      return;
+    }
+    if (message.kind === links.LinkMessageKind.Weights) {
+      this.orders.publish(message.order);
+      return;
+    }
+    this.takeRevision(openLink, message.revision, message.confirmedAgoMs, message.slice);
+  }
+
+  close(link: links.TargetLink): void {
+    this.openLinks.delete(link);
+  }
+
+  private takeRevision(
+    openLink: OpenLink,
+    revision: number,
+    confirmedAgoMs: number | null,
+    slice: links.Slice | undefined,
+  ): void {
+    if (confirmedAgoMs === null) return;
+    const { state, work: workTask, log } = this.options;
+    const before = state.revision;
+    if (!state.confirm(revision, confirmedAgoMs, slice)) return;
+    if (slice) workTask.applyCapacity();
+    if (state.revision === before) return;
+    log.change('revision', { revision: state.revision, previous: before });
+    this.sendLoad(openLink);
+  }
+
+  private sendHeartbeats(): void {
+    const nowMs = this.options.clock.nowMs();
+    this.openLinks.forEach((openLink) => {
+      if (nowMs - openLink.sentMs >= openLink.heartbeatMs) this.sendLoad(openLink);
+    });
+  }
+
+  private sendLoad(openLink: OpenLink): void {
+    const { work: workTask, state, clock } = this.options;
+    openLink.sentMs = clock.nowMs();
+    openLink.link.send({
+      kind: links.LinkMessageKind.Load,
+      load: {
+        queued: workTask.queue.queued,
+        running: workTask.queue.running,
+        revision: state.revision,
+        weightVersions: { ...state.weightVersions },
+        serviceTimeMs: workTask.serviceTimeMs,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/target/target.ts
@@ -0,0 +1,113 @@
+/**
+ * A target daemon: the tree of tasks beside one target, and its planned stop.
+ */
+import type * as configuration from '@azureworks/configuration';
+import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
+import * as platforms from '@azureworks/platform';
+import type * as daemons from '../core/daemon';
+import * as httpTask from '../core/http-task';
+import type * as logs from '../core/log';
+import * as metrics from '../core/metrics';
+import * as observability from '../core/observability';
+import * as supervisor from '../core/supervisor';
+import * as linksTask from './links-task';
+import * as states from './target-state';
+import * as weightsTask from './weights-task';
+import * as workTask from './work-task';
+
+/** How long entries are given to see that the target is leaving. */
+const LEAVING_NOTICE_MS = 300;
+
+/** The daemon beside one target. */
+export class TargetDaemon implements daemons.Daemon {
+  private constructor(
+    private readonly tree: supervisor.Supervisor,
+    private readonly parts: {
+      readonly http: httpTask.HttpTask;
+      readonly state: states.TargetState;
+      readonly work: workTask.WorkTask;
+      readonly links: linksTask.LinksTask;
+      readonly platform: platforms.Platform;
+    },
+  ) {}
+
+  static create(
+    settings: configuration.Settings,
+    credentials: links.CredentialSource,
+    incarnation: number,
+    log: logs.Log,
+  ): TargetDaemon {
+    const { daemon } = settings;
+    const target = settings.target as configuration.TargetSettings;
+    const clock = decisions.MonotonicClock.create();
+    const sharedMetrics = metrics.Metrics.create();
+    const platform = platforms.Platform.create(settings.platform.url, settings.platform.timeout_ms);
+    const state = states.TargetState.create(clock);
+    const http = httpTask.HttpTask.create(
+      daemon.address,
+      daemon.http_port,
+      daemon.drain_timeout_ms,
+    );
+    const isEngine = target.kind === 'engine';
+    const work = workTask.WorkTask.create({
+      http,
+      targetUrl: target.url,
+      isEngine,
+      incarnation,
+      state,
+      metrics: sharedMetrics,
+      clock,
+    });
+    const linkTask = linksTask.LinksTask.create({
+      settings,
+      incarnation,
+      credentials,
+      state,
+      work,
+      metrics: sharedMetrics,
+      log,
+      clock,
+      readHttpPort: () => http.listeningPort,
+    });
+    const weights = weightsTask.WeightsTask.create({
+      target,
+      tables: platform.tables,
+      state,
+      metrics: sharedMetrics,
+      log,
+      cutStreams: () => work.cutStreams(),
+      announceLoad: () => linkTask.announceLoad(),
+    });
+    linkTask.orders.subscribe((order) => weights.take(order));
+    observability.addObservability(
+      http,
+      sharedMetrics,
+      () => state.isConfirmed && !state.isDraining,
+    );
+    const tasks = [http, ...(isEngine ? [weights] : []), work, linkTask];
+    const tree = supervisor.Supervisor.create('target', tasks, log);
+    return new TargetDaemon(tree, { http, state, work, links: linkTask, platform });
+  }
+
+  async start(): Promise<daemons.Ports> {
+    await this.tree.start();
+    const { http, links: linkTask } = this.parts;
+    return { httpPort: http.listeningPort, controlPort: linkTask.controlPort };
+  }
+
+  /** Leaves, gives the queue back, finishes what is in flight and stops. */
+  async stop(): Promise<void> {
+    const { http, state, work, links: linkTask, platform } = this.parts;
+    state.drain();
+    linkTask.announceLeaving();
+    work.queue.drain();
+    await new Promise((resolve) => {
+      setTimeout(resolve, LEAVING_NOTICE_MS);
+    });
+    await http.stop();
+    await this.tree.stop();
+    await work.close();
+    await platform.close();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/target/work-task.ts
@@ -0,0 +1,230 @@
+/**
+ * The work port of a target daemon: the only door through which requests reach the target. It
+ * queues them by priority, hands each attempt over at most once and passes the answer on as it
+ * arrives.
+ */
+import type * as http from 'node:http';
+import * as decisions from '@azureworks/decisions';
+import * as body from '../core/body';
+import * as forwarders from '../core/forwarder';
+import * as httpTask from '../core/http-task';
+import type * as metrics from '../core/metrics';
+import type * as supervisors from '../core/supervisor';
+import * as headers from '../types/headers';
+import * as averages from '../utils/average';
+import * as ledgers from './ledger';
+import * as queues from './work-queue';
+import type * as states from './target-state';
+import * as workRun from './work-run';
+
+/** What the work task needs. */
+export interface WorkTaskOptions {
+  readonly http: httpTask.HttpTask;
+  readonly targetUrl: string;
+  readonly isEngine: boolean;
+  /** Changes with every start of this daemon. */
+  readonly incarnation: number;
+  readonly state: states.TargetState;
+  readonly metrics: metrics.Metrics;
+  readonly clock: decisions.Clock;
+}
+
+const WORK_PREFIX = '/work';
+const LARGEST_BODY_BYTES = 64 * 1024 * 1024;
+const SETTLE_POLL_MS = 10;
+const OK = 200;
+const SERVICE_TIME_WEIGHT = 0.1;
+const INITIAL_SERVICE_TIME_MS = 50;
+
+/** Serves the work port. */
+export class WorkTask implements supervisors.Task {
+  readonly name = 'work';
+
+  readonly ledger: ledgers.Ledger;
+
+  readonly queue = queues.WorkQueue.create(1);
+
+  private readonly serviceTime = averages.MovingAverage.create(
+    SERVICE_TIME_WEIGHT,
+    INITIAL_SERVICE_TIME_MS,
+  );
+
+  private forwarder: forwarders.Forwarder;
+
+  private readonly runs = new Set<workRun.WorkRun>();
+
+  private constructor(private readonly options: WorkTaskOptions) {
+    this.ledger = ledgers.Ledger.create(options.clock);
+    this.forwarder = forwarders.Forwarder.create(options.targetUrl);
+    options.http.add('all', `${WORK_PREFIX}/*`, (request, response) =>
+      this.serve(request, response),
+    );
+    options.http.add('post', '/attempts/:attempt/settle', (request, response) =>
+      this.settle(request, response),
+    );
+  }
+
+  static create(options: WorkTaskOptions): WorkTask {
+    return new WorkTask(options);
+  }
+
+  /** Smoothed service time of the target, in milliseconds. */
+  get serviceTimeMs(): number {
+    return Math.round(this.serviceTime.value);
+  }
+
+  async start(): Promise<void> {
+    this.applyCapacity();
+  }
+
+  /** Gives waiting requests back and waits for none: the HTTP task waits for answers in flight. */
+  async stop(): Promise<void> {
+    this.queue.drain();
+  }
+
+  /** Closes the connections to the target, after the answers in flight are finished. */
+  async close(): Promise<void> {
+    await this.forwarder.close();
+  }
+
+  /** Applies the capacity of the revision in force. */
+  applyCapacity(): void {
+    this.queue.setCapacity(this.options.state.slice.capacity, this.options.clock.nowMs());
+  }
+
+  /** Cuts streams whose weight version can no longer be known, so that they are resumed elsewhere. */
+  cutStreams(): void {
+    this.runs.forEach((run) => run.cut());
+  }
+
+  /** The load of the target as one header value: running and queued requests. */
+  formatLoad(): string {
+    return `${this.queue.running};${this.queue.queued}`;
+  }
+
+  private async serve(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const bytes = await body.readBody(request, LARGEST_BODY_BYTES);
+    if (bytes.isErr()) {
+      httpTask.sendFailure(response, bytes.error);
+      return;
+    }
+    const attempt = readText(request.headers[headers.Header.Attempt]);
+    const incarnation = Number(request.headers[headers.Header.Incarnation]);
+    const refusal = this.findRefusal(attempt, incarnation);
+    if (refusal) {
+      this.options.metrics.count('work_refused', { code: refusal.code });
+      httpTask.sendFailure(response, refusal);
+      return;
+    }
+    this.enqueue(attempt, request, response, bytes.value);
+  }
+
+  private findRefusal(attempt: string, incarnation: number): decisions.Failure | undefined {
+    if (attempt === '') {
+      return decisions.createFailure('invalid-request', { detail: 'no attempt id' });
+    }
+    // The former daemon's ledger is gone: only attempts meant for this one can be judged here.
+    if (incarnation !== this.options.incarnation) return decisions.createFailure('target-replaced');
+    if (this.options.state.isDraining) return decisions.createFailure('draining');
+    if (!this.options.state.isConfirmed) return decisions.createFailure('revision-unconfirmed');
+    if (this.ledger.open(attempt)) return undefined;
+    if (this.ledger.getState(attempt) === ledgers.AttemptState.Barred) {
+      return decisions.createFailure('request-barred');
+    }
+    return decisions.createFailure('request-in-progress');
+  }
+
+  private enqueue(
+    attempt: string,
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+    bytes: Buffer,
+  ): void {
+    const { clock } = this.options;
+    const deadlineMs = clock.nowMs() + Number(request.headers[headers.Header.DeadlineMs] ?? 0);
+    const waiter: queues.Waiter = {
+      priority: Number(request.headers[headers.Header.Priority] ?? 1),
+      deadlineMs,
+      admit: () => this.handOver(attempt, request, response, bytes),
+      giveBack: (reason) => this.giveBack(attempt, response, reason),
+    };
+    response.on('close', () => {
+      if (this.queue.remove(waiter)) this.ledger.bar(attempt);
+    });
+    this.queue.add(waiter, clock.nowMs());
+  }
+
+  private giveBack(
+    attempt: string,
+    response: http.ServerResponse,
+    reason: queues.GiveBackReason,
+  ): void {
+    this.ledger.bar(attempt);
+    const isDeadline = reason === queues.GiveBackReason.Deadline;
+    const failure = decisions.createFailure(isDeadline ? 'deadline-exceeded' : 'draining');
+    this.options.metrics.count('work_given_back', { reason });
+    httpTask.sendFailure(response, failure);
+  }
+
+  private handOver(
+    attempt: string,
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+    bytes: Buffer,
+  ): void {
+    const { clock } = this.options;
+    if (!this.ledger.handOver(attempt)) {
+      this.queue.release(clock.nowMs());
+      httpTask.sendFailure(response, decisions.createFailure('request-barred'));
+      return;
+    }
+    const startMs = clock.nowMs();
+    const run = workRun.WorkRun.create({
+      attempt,
+      request,
+      response,
+      bytes,
+      path: request.url.slice(WORK_PREFIX.length),
+      isEngine: this.options.isEngine,
+      ledger: this.ledger,
+      formatLoad: () => this.formatLoad(),
+      close: (hasRun) => {
+        this.runs.delete(run);
+        if (hasRun) this.serviceTime.add(clock.nowMs() - startMs);
+        this.options.metrics.count('work_finished', { ran: String(hasRun) });
+        this.queue.release(clock.nowMs());
+      },
+    });
+    this.runs.add(run);
+    run.start(this.forwarder);
+  }
+
+  /** Tells where an attempt stands, and bars it when it was not handed over. */
+  private async settle(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { attempt } = request.params;
+    const url = new URL(request.url, 'http://target');
+    if (Number(request.headers[headers.Header.Incarnation]) !== this.options.incarnation) {
+      httpTask.sendJson(response, OK, { state: ledgers.AttemptState.Unknown });
+      return;
+    }
+    const waitUntilMs = this.options.clock.nowMs() + Number(url.searchParams.get('wait_ms') ?? 0);
+    let state = this.ledger.bar(attempt);
+    while (state === ledgers.AttemptState.Running && this.options.clock.nowMs() < waitUntilMs) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, SETTLE_POLL_MS);
+      });
+      state = this.ledger.bar(attempt);
+    }
+    httpTask.sendJson(response, OK, { state, answer: this.ledger.getAnswer(attempt) });
+  }
+}
+
+function readText(value: string | string[] | undefined): string {
+  return typeof value === 'string' ? value : '';
+}
--- /dev/null
+++ b/packages/decisions/__tests__/fence.test.ts
@@ -0,0 +1,18 @@
+import * as decisions from '@azureworks/decisions';
+
+describe('fence', () => {
+  it('obeys nobody before the floor is known', () => {
+    const fence = decisions.Fence.create();
+    expect(fence.check('engine', 7)).toBe(decisions.FenceDecision.Unready);
+  });
+
+  it('refuses a number lower than the floor or than one seen before', () => {
+    const fence = decisions.Fence.create();
+    fence.setFloor('engine', 5);
+    expect(fence.check('engine', 4)).toBe(decisions.FenceDecision.Stale);
+    expect(fence.check('engine', 6)).toBe(decisions.FenceDecision.Accept);
+    expect(fence.check('engine', 5)).toBe(decisions.FenceDecision.Stale);
+    fence.setFloor('engine', 1);
+    expect(fence.check('engine', 5)).toBe(decisions.FenceDecision.Stale);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/core/errors.ts
@@ -0,0 +1,94 @@
+/**
+ * The one table of errors. Each has a machine-readable code, an HTTP status and the verdict that
+ * holds unless the place that raises it knows better.
+ */
+import * as verdicts from './verdict';
+
+interface ErrorKind {
+  readonly status: number;
+  readonly verdict: verdicts.VerdictKind;
+  readonly message: string;
+}
+
+const { NotRun, MayHaveRun } = verdicts.VerdictKind;
+
+/** Every error that the system reports, by code. */
+export const ErrorTable = {
+  'malformed-json': { status: 400, verdict: NotRun, message: 'the body is not valid JSON' },
+  'invalid-request': { status: 400, verdict: NotRun, message: 'the request is not valid' },
+  'bad-deadline': { status: 400, verdict: NotRun, message: 'the deadline is not valid' },
+  unauthorized: { status: 401, verdict: NotRun, message: 'the token is missing or wrong' },
+  'unknown-tenant': { status: 403, verdict: NotRun, message: 'the tenant is not configured' },
+  'unknown-deployment': { status: 404, verdict: NotRun, message: 'the deployment is unknown' },
+  'unknown-service': { status: 404, verdict: NotRun, message: 'the service is unknown' },
+  'unknown-trainer': { status: 404, verdict: NotRun, message: 'the trainer is unknown' },
+  'unknown-step': { status: 404, verdict: NotRun, message: 'the step has not been submitted' },
+  'not-found': { status: 404, verdict: NotRun, message: 'there is no such resource' },
+  conflict: { status: 409, verdict: NotRun, message: 'another change was accepted first' },
+  'stale-fence': { status: 409, verdict: NotRun, message: 'the fencing number is out of date' },
+  'request-in-progress': {
+    status: 409,
+    verdict: MayHaveRun,
+    message: 'the same request is still in progress',
+  },
+  'request-barred': { status: 409, verdict: NotRun, message: 'the attempt was given up before' },
+  'target-replaced': { status: 409, verdict: NotRun, message: 'the target was replaced' },
+  'body-too-large': { status: 413, verdict: NotRun, message: 'the body is too large' },
+  'invalid-configuration': {
+    status: 422,
+    verdict: NotRun,
+    message: 'the configuration is not valid',
+  },
+  overloaded: { status: 429, verdict: NotRun, message: 'the load is too high; try again later' },
+  'target-failed': { status: 502, verdict: MayHaveRun, message: 'the target failed' },
+  'outcome-unknown': { status: 502, verdict: MayHaveRun, message: 'the outcome is not known' },
+  'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
+  'store-unavailable': { status: 503, verdict: NotRun, message: 'the store cannot be reached' },
+  'revision-unconfirmed': {
+    status: 503,
+    verdict: NotRun,
+    message: 'the configuration revision cannot be confirmed',
+  },
+  draining: { status: 503, verdict: NotRun, message: 'the daemon is stopping' },
+  'deadline-exceeded': { status: 504, verdict: NotRun, message: 'the deadline has passed' },
+} as const satisfies Record<string, ErrorKind>;
+
+/** The code of an error. */
+export type ErrorCode = keyof typeof ErrorTable;
+
+/** A failed request or operation: what went wrong and whether it may have run. */
+export interface Failure {
+  readonly code: ErrorCode;
+  readonly verdict: verdicts.VerdictKind;
+  readonly message: string;
+  /** Milliseconds after which another attempt is sensible. */
+  readonly retryAfterMs?: number;
+}
+
+/** What a place that raises a failure may say beyond its code. */
+export interface FailureDetail {
+  readonly detail?: string;
+  readonly verdict?: verdicts.VerdictKind;
+  readonly retryAfterMs?: number;
+}
+
+/** Makes a failure from its code and an optional detail. */
+export function createFailure(code: ErrorCode, detail: FailureDetail = {}): Failure {
+  const kind: ErrorKind = ErrorTable[code];
+  return {
+    code,
+    verdict: detail.verdict ?? kind.verdict,
+    message: detail.detail ? `${kind.message}: ${detail.detail}` : kind.message,
+    ...(detail.retryAfterMs === undefined ? {} : { retryAfterMs: detail.retryAfterMs }),
+  };
+}
+
+/** The HTTP status of a failure. */
+export function getStatus(failure: Failure): number {
+  return ErrorTable[failure.code].status;
+}
+
+/** Whether `text` is the code of an error. */
+export function isErrorCode(text: unknown): text is ErrorCode {
+  return typeof text === 'string' && Object.hasOwn(ErrorTable, text);
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,49 @@
+/**
+ * Public entry of the decisions package: pure code without sockets, clocks or randomness of its own.
+ */
+export type { Clock } from './types/clock';
+export type { Random } from './types/random';
+export type { Candidate, Placement } from './types/candidate';
+export type { Policy } from './types/policy';
+export { ManualClock } from './utils/manual-clock';
+export { MonotonicClock } from './utils/monotonic-clock';
+export { SeededRandom } from './utils/seeded-random';
+export { combineHashes, hashText } from './utils/hash';
+export { VerdictKind, combineVerdicts, isRetryable, isVerdictKind } from './core/verdict';
+export {
+  ErrorTable,
+  type ErrorCode,
+  type Failure,
+  type FailureDetail,
+  createFailure,
+  getStatus,
+  isErrorCode,
+} from './core/errors';
+export { chooseNode, rankNodes } from './core/rendezvous';
+export { RetryBudget } from './core/retry-budget';
+export { isDoomed, isFresh, measureStaleness } from './core/staleness';
+export { AffinityPolicy, estimateLoad, estimateWaitMs } from './policies/affinity';
+export { LeastRequestsPolicy } from './policies/least-requests';
+export { RandomPolicy } from './policies/random';
+export { RoundRobinPolicy } from './policies/round-robin';
+export { TwoChoicesPolicy } from './policies/two-choices';
+export { FairQueue, type Ticket } from './core/fair-queue';
+export { Health, HealthTracker } from './core/health';
+export { type Placed, chooseCoveringEntries, chooseSubset } from './core/subset';
+export {
+  type Change,
+  type ChangeConflict,
+  type FileRecord,
+  type FileRecords,
+  type RemovedRecord,
+  applyChange,
+  findConflict,
+  listFiles,
+  listTouched,
+} from './core/change';
+export { Confirmation } from './core/confirmation';
+export { type MemberRecord, MemberView, Standing } from './core/member-view';
+export { Fence, FenceDecision } from './core/fence';
+export { Lease, type LeaseRow, type LeaseStep } from './core/lease';
+export { type Replica, chooseLoading } from './core/swap-waves';
+export { type SampleProgress, chooseStragglers } from './core/straggler';
--- /dev/null
+++ b/packages/links/src/core/json-codec.ts
@@ -0,0 +1,21 @@
+/**
+ * Messages as JSON text in UTF-8.
+ */
+import type * as codec from '../types/codec';
+
+/** The JSON codec. */
+export class JsonCodec implements codec.Codec {
+  readonly name = 'json';
+
+  static create(): JsonCodec {
+    return new JsonCodec();
+  }
+
+  encode(message: unknown): Buffer {
+    return Buffer.from(JSON.stringify(message));
+  }
+
+  decode(bytes: Buffer): unknown {
+    return JSON.parse(bytes.toString('utf8'));
+  }
+}
--- /dev/null
+++ b/packages/links/src/types/messages.ts
@@ -0,0 +1,201 @@
+/**
+ * The messages between daemons. Each is a JSON object that is checked on arrival; a message that
+ * fails the check is refused and counted, and changes nothing.
+ */
+import * as zod from 'zod';
+
+const name = zod.string().min(1).max(200);
+const count = zod.number().int().min(0);
+const durationMs = zod.number().min(0);
+const port = zod.number().int().min(1).max(65_535);
+
+/** Where a daemon stands in its life. */
+export const MemberState = {
+  Alive: 'alive',
+  Suspect: 'suspect',
+  Leaving: 'leaving',
+  Dead: 'dead',
+} as const;
+export type MemberState = (typeof MemberState)[keyof typeof MemberState];
+
+export const memberSchema = zod.object({
+  name,
+  address: name,
+  httpPort: port,
+  controlPort: port,
+  failureDomain: name,
+  region: name,
+  /** Grows with every start under the same name and with every refuted suspicion. */
+  incarnation: count,
+  state: zod.enum(Object.values(MemberState)),
+});
+/** An entry as the others see it. */
+export type Member = zod.infer<typeof memberSchema>;
+
+export const weightsOrderSchema = zod.object({
+  engine: name,
+  model: name,
+  version: count,
+  /** The fencing number of the lease under which the order is given. */
+  fence: count,
+  /** The trainer whose announcement is ordered. */
+  trainer: name,
+});
+/** An order to load a version of a model's weights. */
+export type WeightsOrder = zod.infer<typeof weightsOrderSchema>;
+
+export const trainerPositionSchema = zod.object({
+  trainer: name,
+  version: count,
+});
+/** The weight version that a trainer stands at. */
+export type TrainerPosition = zod.infer<typeof trainerPositionSchema>;
+
+export const exchangeSchema = zod.object({
+  from: memberSchema,
+  members: zod.array(memberSchema).max(2000),
+  revision: count,
+  /** Age of the sender's last confirmation of the revision by the store or a peer. */
+  confirmedAgoMs: durationMs.nullable(),
+  positions: zod.array(trainerPositionSchema).max(2000),
+  orders: zod.array(weightsOrderSchema).max(2000),
+});
+/** One side of a gossip exchange between entries. */
+export type Exchange = zod.infer<typeof exchangeSchema>;
+
+export const probeSchema = zod.object({ from: name, about: name });
+/** A request to check on another entry. */
+export type Probe = zod.infer<typeof probeSchema>;
+
+export const probeAnswerSchema = zod.object({ isReachable: zod.boolean() });
+/** Whether the other entry answered. */
+export type ProbeAnswer = zod.infer<typeof probeAnswerSchema>;
+
+export const snapshotRequestSchema = zod.object({
+  from: name,
+  /** The revision that the sender holds. */
+  revision: count,
+});
+/** A request for the configuration changes since a revision. */
+export type SnapshotRequest = zod.infer<typeof snapshotRequestSchema>;
+
+export const snapshotSchema = zod.object({
+  from: name,
+  revision: count,
+  /** The revision that the changes build on; null when `put` holds every file. */
+  baseRevision: count.nullable(),
+  put: zod.record(zod.string(), zod.string()),
+  remove: zod.array(name),
+});
+/** The configuration at a revision, whole or as changes. */
+export type Snapshot = zod.infer<typeof snapshotSchema>;
+
+export const acknowledgementSchema = zod.object({ revision: count });
+/** The revision in force at the receiver after it took a snapshot. */
+export type Acknowledgement = zod.infer<typeof acknowledgementSchema>;
+
+export const sliceSchema = zod.object({
+  capacity: zod.number().int().min(1),
+  fencing: zod.enum(['checked', 'ignored']),
+});
+/** The part of the configuration that a target daemon needs. */
+export type Slice = zod.infer<typeof sliceSchema>;
+
+export const groupOrderSchema = zod.object({
+  trainer: name,
+  step: name,
+  group: name,
+  /** Grows when a result was too old to be handed over and the group is made again. */
+  generation: count,
+  prompt: zod.string(),
+  members: zod.number().int().min(1).max(4096),
+  maximumTokens: zod.number().int().min(1),
+  meanTokens: zod.number().int().min(1).optional(),
+  /** The version that the trainer stands at. */
+  version: count,
+  /** Milliseconds that are left for the group. */
+  remainingMs: durationMs,
+});
+/** A request to make the samples of one group. */
+export type GroupOrder = zod.infer<typeof groupOrderSchema>;
+
+export const sampleSchema = zod.object({
+  /** Derived from trainer, step, group and index, so that an attempt can be repeated. */
+  id: name,
+  text: zod.string(),
+  tokens: count,
+  /** Every weight version that produced a part of the sample. */
+  weightVersions: zod.array(count).min(1),
+  score: zod.number().optional(),
+});
+/** One sample. */
+export type Sample = zod.infer<typeof sampleSchema>;
+
+export const groupResultSchema = zod.object({
+  group: name,
+  generation: count,
+  samples: zod.array(sampleSchema),
+  /** Whether the result is kept at the object store. */
+  isCommitted: zod.boolean(),
+});
+/** The samples of one group. */
+export type GroupResult = zod.infer<typeof groupResultSchema>;
+
+/** Kinds of messages on a link. */
+export const LinkMessageKind = {
+  EntryHello: 'entry-hello',
+  Revision: 'revision',
+  Weights: 'weights',
+  TargetHello: 'target-hello',
+  Load: 'load',
+  Leaving: 'leaving',
+} as const;
+
+export const entryMessageSchema = zod.discriminatedUnion('kind', [
+  zod.object({
+    kind: zod.literal(LinkMessageKind.EntryHello),
+    entry: name,
+    incarnation: count,
+    heartbeatMs: zod.number().int().min(50).max(60_000),
+  }),
+  zod.object({
+    kind: zod.literal(LinkMessageKind.Revision),
+    revision: count,
+    confirmedAgoMs: durationMs.nullable(),
+    slice: sliceSchema.optional(),
+  }),
+  zod.object({ kind: zod.literal(LinkMessageKind.Weights), order: weightsOrderSchema }),
+]);
+/** A message from an entry to a target daemon. */
+export type EntryMessage = zod.infer<typeof entryMessageSchema>;
+
+export const loadSchema = zod.object({
+  queued: count,
+  running: count,
+  revision: count,
+  /** The weight version of each model that an engine holds; null when it is unknown. */
+  weightVersions: zod.record(name, count.nullable()),
+  /** Smoothed service time of the target, in milliseconds. */
+  serviceTimeMs: durationMs,
+});
+/** A load report of a target. */
+export type Load = zod.infer<typeof loadSchema>;
+
+export const targetMessageSchema = zod.discriminatedUnion('kind', [
+  zod.object({
+    kind: zod.literal(LinkMessageKind.TargetHello),
+    name,
+    service: name,
+    targetKind: zod.enum(['engine', 'service']),
+    failureDomain: name,
+    region: name,
+    address: name,
+    httpPort: port,
+    incarnation: count,
+  }),
+  zod.object({ kind: zod.literal(LinkMessageKind.Load), load: loadSchema }),
+  zod.object({ kind: zod.literal(LinkMessageKind.Leaving) }),
+]);
+/** A message from a target daemon to an entry. */
+export type TargetMessage = zod.infer<typeof targetMessageSchema>;
+export type TargetHello = Extract<TargetMessage, { kind: 'target-hello' }>;
--- /dev/null
+++ b/packages/platform/src/core/http-platform.ts
@@ -0,0 +1,37 @@
+/**
+ * The platform's services over HTTP.
+ *
+ * Protocol: `GET /tables/T/rows/K`, `GET /tables/T/rows?prefix=P`, `POST /tables/transactions`,
+ * `PUT /objects/K` with `If-None-Match: *`, `GET /objects/K`, `GET /objects?prefix=P`, `GET /vms`.
+ */
+import type * as store from '../types/store';
+import * as http from '../utils/http';
+import * as httpObjectStore from './http-object-store';
+import * as httpTableService from './http-table-service';
+import * as httpVmList from './http-vm-list';
+
+/** All services of the platform that a daemon uses. */
+export class Platform {
+  private constructor(
+    private readonly connection: http.PlatformConnection,
+    readonly tables: store.TableService,
+    readonly objects: store.ObjectStore,
+    readonly vms: store.VmList,
+  ) {}
+
+  /** Connects to the platform over HTTP; see PlatformConnection for the parameters. */
+  static create(url: string, timeoutMs: number): Platform {
+    const connection = http.PlatformConnection.create(url, timeoutMs);
+    return new Platform(
+      connection,
+      new httpTableService.HttpTableService(connection),
+      new httpObjectStore.HttpObjectStore(connection),
+      new httpVmList.HttpVmList(connection),
+    );
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.connection.close();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bin/experiment.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+/**
+ * Runs experiments on the stand-ins. Progress goes to standard error, results to standard output.
+ */
+import * as commander from 'commander';
+import * as demo from '../experiments/demo';
+import * as deployments from '../experiments/deployments';
+
+const program = new commander.Command('experiment');
+
+function showProgress(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+function printTable(report: object): void {
+  const width = Math.max(...Object.keys(report).map((key) => key.length));
+  Object.entries(report).forEach(([key, value]) => {
+    const shown = typeof value === 'number' ? Math.round(value * 1000) / 1000 : String(value);
+    process.stdout.write(`${key.padEnd(width)}  ${shown}\n`);
+  });
+}
+
+/** Prints a report as a table, or as one JSON object with `--json`. */
+function print(report: object): void {
+  if (program.opts<{ json?: boolean }>().json) process.stdout.write(`${JSON.stringify(report)}\n`);
+  else printTable(report);
+}
+
+program
+  .description('Experiments on stand-ins, each with all its processes on this machine')
+  .version('0.1.0')
+  .option('--json', 'print one JSON object');
+
+program
+  .command('demo')
+  .description('run the main job: trainers and callers of a deployment')
+  .option('--guild', 'the deployment of the guild instead of Dapur Bersih')
+  .option('--steps <n>', 'steps of each trainer', '3')
+  .action(async (options: { guild?: boolean; steps: string }) => {
+    const plan = options.guild ? deployments.GUILD : deployments.DAPUR_BERSIH;
+    print(await demo.runDemo(plan, Number(options.steps), showProgress));
+  });
+
+program.parseAsync().catch((error: Error) => {
+  process.stderr.write(`${error.message}\n`);
+  process.exit(1);
+});
--- /dev/null
+++ b/packages/standins/src/experiments/fleet.ts
@@ -0,0 +1,314 @@
+/**
+ * A whole deployment on one machine: the platform, the targets with their daemons, the entries and
+ * the trainers, each as a process of its own.
+ */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as undici from 'undici';
+import * as children from './process';
+
+/** A service and its targets. */
+export interface ServicePlan {
+  readonly service: string;
+  readonly kind: 'engine' | 'service';
+  readonly count: number;
+  /** Options of the stand-in beside each target daemon. */
+  readonly options: readonly string[];
+}
+
+/** What a fleet consists of. */
+export interface FleetPlan {
+  readonly region: string;
+  readonly failureDomains: readonly string[];
+  readonly entries: number;
+  readonly services: readonly ServicePlan[];
+  readonly platformOptions: readonly string[];
+  /** Options of the platform as the daemons see it. */
+  readonly platformTimeoutMs: number;
+}
+
+/** A target and the daemon beside it. */
+export interface FleetTarget {
+  readonly name: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly kind: 'engine' | 'service';
+  standin: children.ChildProcess;
+  daemon: children.ChildProcess;
+}
+
+/** An entry. */
+export interface FleetEntry {
+  readonly name: string;
+  readonly failureDomain: string;
+  daemon: children.ChildProcess;
+}
+
+const ADDRESS = '127.0.0.1';
+const READY_TIMEOUT_MS = 30_000;
+const READY_POLL_MS = 100;
+const OK = 200;
+
+const PACKAGES = path.resolve(__dirname, '..', '..', '..');
+const STANDIN_SCRIPT = path.join(PACKAGES, 'standins', 'dist', 'bin', 'standin.js');
+const DAEMON_SCRIPT = path.join(PACKAGES, 'daemon', 'dist', 'bin', 'azureworksd.js');
+
+/** The command line of operators, for experiments that run it. */
+export const CLIENT_SCRIPT = path.join(PACKAGES, 'client', 'dist', 'bin', 'azureworks.js');
+
+/** A running deployment. */
+export class Fleet {
+  readonly entries: FleetEntry[] = [];
+
+  readonly targets: FleetTarget[] = [];
+
+  readonly trainers: children.ChildProcess[] = [];
+
+  private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'azureworks-'));
+
+  private constructor(
+    private readonly plan: FleetPlan,
+    readonly platform: children.ChildProcess,
+  ) {}
+
+  /** Starts everything but the trainers. */
+  static async create(plan: FleetPlan): Promise<Fleet> {
+    const commandLine = ['platform', ...plan.platformOptions];
+    const platform = await children.ChildProcess.create('platform', STANDIN_SCRIPT, commandLine);
+    const fleet = new Fleet(plan, platform);
+    const targets = plan.services.flatMap((service) =>
+      Array.from({ length: service.count }, (_, index) => ({ service, index })),
+    );
+    await Promise.all(targets.map(({ service, index }) => fleet.addTarget(service, index)));
+    const entries = Array.from({ length: plan.entries }, (_, index) => index);
+    await Promise.all(entries.map((index) => fleet.addEntry(`entry-${index + 1}`)));
+    await fleet.publishVms();
+    return fleet;
+  }
+
+  /** Base URLs of the entries. */
+  get entryUrls(): string[] {
+    return this.entries.map((entry) => entry.daemon.url);
+  }
+
+  /** Starts a target and its daemon. */
+  async addTarget(service: ServicePlan, index: number): Promise<FleetTarget> {
+    const name = `${service.service}-${index + 1}`;
+    const failureDomain = this.plan.failureDomains[index % this.plan.failureDomains.length];
+    const standin = await children.ChildProcess.create(name, STANDIN_SCRIPT, [
+      service.kind,
+      ...['--name', name],
+      ...(service.kind === 'engine' ? ['--platform', this.platform.url] : []),
+      ...service.options,
+    ]);
+    const { kind } = service;
+    const target: FleetTarget = {
+      name,
+      service: service.service,
+      failureDomain,
+      kind,
+      standin,
+      daemon: await this.startTargetDaemon(name, service.service, kind, failureDomain, standin, {}),
+    };
+    this.targets.push(target);
+    return target;
+  }
+
+  /** Starts an entry. */
+  async addEntry(name: string, ports: children.ReportedPorts = {}): Promise<FleetEntry> {
+    const { failureDomains } = this.plan;
+    const failureDomain = failureDomains[this.entries.length % failureDomains.length];
+    const entry: FleetEntry = {
+      name,
+      failureDomain,
+      daemon: await this.startDaemon(name, [
+        ...this.createCommonSettings(name, 'entry', failureDomain, ports),
+      ]),
+    };
+    this.entries.push(entry);
+    this.entries.sort((first, second) => (first.name < second.name ? -1 : 1));
+    return entry;
+  }
+
+  /** Starts the daemon of an entry again on the same ports. */
+  async restartEntry(entry: FleetEntry): Promise<void> {
+    const { ports } = entry.daemon;
+    const settings = this.createCommonSettings(entry.name, 'entry', entry.failureDomain, ports);
+    entry.daemon = await this.startDaemon(entry.name, settings);
+  }
+
+  /** Starts the daemon of a target again on the same ports. */
+  async restartTargetDaemon(target: FleetTarget): Promise<void> {
+    const { name, service, kind, failureDomain, standin } = target;
+    const { ports } = target.daemon;
+    target.daemon = await this.startTargetDaemon(
+      name,
+      service,
+      kind,
+      failureDomain,
+      standin,
+      ports,
+    );
+  }
+
+  /** Starts a trainer. */
+  async addTrainer(name: string, options: readonly string[]): Promise<children.ChildProcess> {
+    const commandLine = ['trainer', '--name', name, '--entries', this.entryUrls.join(',')];
+    const child = await children.ChildProcess.create(name, STANDIN_SCRIPT, [
+      ...commandLine,
+      ...options,
+    ]);
+    this.trainers.push(child);
+    return child;
+  }
+
+  /** Puts the VMs of the fleet on the platform's list. */
+  async publishVms(): Promise<void> {
+    const create = (
+      member: FleetEntry | FleetTarget,
+      role: string,
+      service?: string,
+    ): Record<string, unknown> => ({
+      vm: `vm-${member.name}`,
+      name: member.name,
+      role,
+      address: ADDRESS,
+      httpPort: member.daemon.ports.httpPort,
+      controlPort: member.daemon.ports.controlPort,
+      failureDomain: member.failureDomain,
+      region: this.plan.region,
+      state: 'live',
+      ...(service && { service }),
+    });
+    const vms = [
+      ...this.entries.map((entry) => create(entry, 'entry')),
+      ...this.targets.map((target) => create(target, 'target', target.service)),
+    ];
+    await postJson(`${this.platform.url}/vms`, { vms });
+  }
+
+  /** Waits until every entry is ready and links to every target at the newest revision. */
+  async waitUntilReady(revision: number): Promise<void> {
+    const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+    while (!(await this.isReady(revision))) {
+      if (performance.now() > deadlineMs) throw new Error('the fleet did not get ready');
+      await sleep(READY_POLL_MS);
+    }
+  }
+
+  /** Writes a folder of configuration files and returns its path. */
+  writeFolder(name: string, files: Readonly<Record<string, string>>): string {
+    const folder = path.join(this.folder, name);
+    fs.mkdirSync(folder, { recursive: true });
+    Object.entries(files).forEach(([file, text]) => {
+      fs.writeFileSync(path.join(folder, file), text);
+    });
+    return folder;
+  }
+
+  /** Stops everything; resolves to the names of daemons that did not stop cleanly. */
+  async stop(): Promise<string[]> {
+    await Promise.all(this.trainers.map((trainer) => trainer.stop('SIGKILL')));
+    const daemons = [...this.entries, ...this.targets].map((member) => member.daemon);
+    daemons.forEach((daemon) => daemon.signal('SIGCONT'));
+    const codes = await Promise.all(daemons.map((daemon) => daemon.stop()));
+    await Promise.all(this.targets.map((target) => target.standin.stop('SIGKILL')));
+    await this.platform.stop('SIGKILL');
+    fs.rmSync(this.folder, { recursive: true, force: true });
+    return daemons.filter((_daemon, index) => codes[index] !== 0).map((daemon) => daemon.name);
+  }
+
+  /** Ends every process at once, for an interrupted experiment. */
+  killAll(): void {
+    const members = [...this.entries, ...this.targets].map((member) => member.daemon);
+    const standins = this.targets.map((target) => target.standin);
+    [...members, ...standins, ...this.trainers, this.platform].forEach((child) =>
+      child.signal('SIGKILL'),
+    );
+    fs.rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private async isReady(revision: number): Promise<boolean> {
+    const names = this.targets.map((target) => target.name);
+    const checks = this.entries.map(async (entry) => {
+      const status = await getJson<{
+        revision: number;
+        confirmedAgoMs: number | null;
+        targets: { name: string; revision: number }[];
+      }>(`${entry.daemon.url}/v1/status`);
+      const current = status.targets.filter((target) => target.revision >= revision);
+      const isCurrent = status.revision >= revision && status.confirmedAgoMs !== null;
+      return isCurrent && names.every((name) => current.some((target) => target.name === name));
+    });
+    return (await Promise.all(checks)).every(Boolean);
+  }
+
+  private startTargetDaemon(
+    name: string,
+    service: string,
+    kind: string,
+    failureDomain: string,
+    standin: children.ChildProcess,
+    ports: children.ReportedPorts,
+  ): Promise<children.ChildProcess> {
+    return this.startDaemon(name, [
+      ...this.createCommonSettings(name, 'target', failureDomain, ports),
+      '[target]',
+      `service = ${service}`,
+      `kind = ${kind}`,
+      `url = ${standin.url}`,
+    ]);
+  }
+
+  private createCommonSettings(
+    name: string,
+    role: string,
+    failureDomain: string,
+    ports: children.ReportedPorts,
+  ): string[] {
+    return [
+      '[daemon]',
+      `role = ${role}`,
+      `name = ${name}`,
+      `address = ${ADDRESS}`,
+      `http_port = ${ports.httpPort ?? 0}`,
+      `control_port = ${ports.controlPort ?? 0}`,
+      `failure_domain = ${failureDomain}`,
+      `region = ${this.plan.region}`,
+      '[platform]',
+      `url = ${this.platform.url}`,
+      `timeout_ms = ${this.plan.platformTimeoutMs}`,
+    ];
+  }
+
+  private startDaemon(name: string, settings: readonly string[]): Promise<children.ChildProcess> {
+    const file = path.join(this.folder, `${name}.ini`);
+    fs.writeFileSync(file, `${settings.join('\n')}\n`);
+    return children.ChildProcess.create(name, DAEMON_SCRIPT, ['--settings', file]);
+  }
+}
+
+/** Reads JSON over HTTP. */
+export async function getJson<T>(url: string): Promise<T> {
+  const response = await undici.request(url);
+  if (response.statusCode !== OK) throw new Error(`${url} answered ${response.statusCode}`);
+  return (await response.body.json()) as T;
+}
+
+/** Posts JSON over HTTP. */
+export async function postJson(url: string, body: unknown): Promise<unknown> {
+  const response = await undici.request(url, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  return response.body.json();
+}
+
+/** Waits for a number of milliseconds. */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/experiments/process.ts
@@ -0,0 +1,97 @@
+/**
+ * A child process of an experiment: started with a script, watched for a line that tells its port,
+ * and stopped with its experiment.
+ */
+import * as childProcess from 'node:child_process';
+import * as readline from 'node:readline';
+
+/** The ports that a child reported. */
+export interface ReportedPorts {
+  readonly port?: number;
+  readonly httpPort?: number;
+  readonly controlPort?: number;
+}
+
+const START_TIMEOUT_MS = 30_000;
+const STOP_TIMEOUT_MS = 40_000;
+
+/** One child process. */
+export class ChildProcess {
+  /** The lines that the child wrote, the latest last. */
+  readonly lines: string[] = [];
+
+  private exitCode: number | null | undefined;
+
+  private constructor(
+    readonly name: string,
+    private readonly child: childProcess.ChildProcess,
+    readonly ports: ReportedPorts,
+  ) {
+    child.on('exit', (code) => {
+      this.exitCode = code;
+    });
+  }
+
+  /** Starts a script and waits until it reports its ports. */
+  static async create(
+    name: string,
+    script: string,
+    commandLine: readonly string[],
+  ): Promise<ChildProcess> {
+    const child = childProcess.spawn(process.execPath, [script, ...commandLine], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const lines = readline.createInterface({ input: child.stdout });
+    const collected: string[] = [];
+    const ports = await new Promise<ReportedPorts>((resolve, reject) => {
+      const timer = setTimeout(() => reject(new Error(`${name} did not start`)), START_TIMEOUT_MS);
+      child.once('exit', (code) => reject(new Error(`${name} ended with ${code}`)));
+      lines.on('line', (line) => {
+        collected.push(line);
+        const parsed = parsePorts(line);
+        if (!parsed) return;
+        clearTimeout(timer);
+        resolve(parsed);
+      });
+    });
+    child.removeAllListeners('exit');
+    const started = new ChildProcess(name, child, ports);
+    started.lines.push(...collected);
+    lines.on('line', (line) => started.lines.push(line));
+    return started;
+  }
+
+  /** The URL of the child's HTTP port. */
+  get url(): string {
+    return `http://127.0.0.1:${this.ports.port ?? this.ports.httpPort}`;
+  }
+
+  /** Whether the child has ended. */
+  get hasEnded(): boolean {
+    return this.exitCode !== undefined;
+  }
+
+  /** Sends a signal. */
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Ends the child with a signal; resolves to its exit code. */
+  async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
+    if (this.exitCode !== undefined) return this.exitCode;
+    const ended = new Promise<number | null>((resolve) => {
+      this.child.once('exit', (code) => resolve(code));
+    });
+    this.child.kill(signal);
+    const timer = setTimeout(() => this.child.kill('SIGKILL'), STOP_TIMEOUT_MS);
+    const code = await ended;
+    clearTimeout(timer);
+    return code;
+  }
+}
+
+function parsePorts(line: string): ReportedPorts | undefined {
+  if (!line.startsWith('{')) return undefined;
+  const parsed = JSON.parse(line) as ReportedPorts;
+  return parsed.port !== undefined || parsed.httpPort !== undefined ? parsed : undefined;
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,6 @@
+/** Public entry of the stand-ins package. */
+export { EngineStandin, type EngineOptions } from './core/engine';
+export { PlainServiceStandin } from './core/plain-service';
+export { PlatformStandin } from './core/platform';
+export { CallerStandin } from './core/caller';
+export { TrainerStandin } from './core/trainer';
