--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -31,7 +31,7 @@
     files: ['packages/**/*.ts'],
     rules: {
       // Private helpers stand below the public parts that call them.
-      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false, classes: false }],
       'no-param-reassign': ['error', { props: false }],
       // The house style asks for namespace imports, which need named exports.
       'import-x/prefer-default-export': 'off',
@@ -64,9 +64,15 @@
       'no-console': 'off',
     },
   },
+  {
+    files: ['packages/*/__tests__/mutants/*.js'],
+    // A mutant patches the built daemon from outside.
+    rules: { '@typescript-eslint/no-require-imports': 'off', 'func-names': 'off' },
+  },
   {
     files: ['packages/*/__tests__/**/*.ts'],
     rules: {
+      'n/no-sync': 'off',
       // The tools of tests are declared once, for the whole workspace.
       'import-x/no-extraneous-dependencies': 'off',
       // neverthrow names its unwrapping for tests so.
--- a/packages/configuration/src/core/configuration.ts
+++ b/packages/configuration/src/core/configuration.ts
@@ -8,6 +8,14 @@
 import * as check from './check';
 import * as sources from './source';
 
+/** How requests are routed to the replicas of an engine service. */
+export const Routing = {
+  Affinity: 'affinity',
+  LeastRequests: 'least-requests',
+  RoundRobin: 'round-robin',
+} as const;
+export type Routing = (typeof Routing)[keyof typeof Routing];
+
 /** Whether an engine refuses orders that carry an old fencing number. */
 export const FencingSupport = { Checked: 'checked', Ignored: 'ignored' } as const;
 export type FencingSupport = (typeof FencingSupport)[keyof typeof FencingSupport];
@@ -26,6 +34,9 @@
   capacity: fields.integer(1, 100_000).default(8),
   fencing: fields.word([FencingSupport.Checked, FencingSupport.Ignored]).default('ignored'),
   swap_share: fields.decimal(0.01, 1).default(0.5),
+  routing: fields
+    .word([Routing.Affinity, Routing.LeastRequests, Routing.RoundRobin])
+    .default(Routing.Affinity),
 };
 
 const serviceShape = {
@@ -42,6 +53,8 @@
   scorer: fields.name().optional(),
   class: fields.name().default('normal'),
   share: fields.integer(1, 1000).default(1),
+  /** Whether a sample that would be too old is begun again at once. */
+  restart_early: fields.flag().default(true),
 };
 
 const tenantShape = {
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -6,6 +6,7 @@
 export { type Files, mergeFiles } from './core/source';
 export {
   FencingSupport,
+  Routing,
   type Configuration,
   type Deployment,
   type Engine,
--- a/packages/daemon/src/bin/azureworksd.ts
+++ b/packages/daemon/src/bin/azureworksd.ts
@@ -7,10 +7,10 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as configuration from '@azureworks/configuration';
-import * as links from '@azureworks/links';
 import * as commander from 'commander';
 import type * as daemons from '../core/daemon';
 import * as log from '../core/log';
+import * as tls from '../core/tls';
 import * as entry from '../entry/entry';
 import * as target from '../target/target';
 
@@ -46,7 +46,7 @@
 }
 
 function createDaemon(settings: configuration.Settings, daemonLog: log.Log): daemons.Daemon {
-  const credentials = links.PlainCredentials.create();
+  const credentials = tls.createCredentials(settings);
   const incarnation = createIncarnation();
   if (settings.daemon.role === configuration.Role.Entry) {
     return entry.EntryDaemon.create(settings, credentials, incarnation, daemonLog);
--- a/packages/daemon/src/core/forwarder.ts
+++ b/packages/daemon/src/core/forwarder.ts
@@ -1,6 +1,8 @@
 /**
  * Sends requests to one other process over a pool of connections.
  */
+import type * as tls from 'node:tls';
+import type * as links from '@azureworks/links';
 import * as undici from 'undici';
 import * as forwardedRequests from './forwarded-request';
 
@@ -11,11 +13,14 @@
 export class Forwarder {
   private constructor(private readonly pool: undici.Pool) {}
 
-  /** @param url base URL of the other process, `http://IP:PORT` */
-  static create(url: string): Forwarder {
+  /**
+   * @param url base URL of the other process, `http://IP:PORT` or `https://IP:PORT`
+   * @param keys shown to the other process, for `https`
+   */
+  static create(url: string, keys?: links.Keys): Forwarder {
     const pool = new undici.Pool(url, {
       connections: CONNECTIONS_PER_TARGET,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: { timeout: CONNECT_TIMEOUT_MS, ...(keys && createTlsOptions(keys)) },
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -45,3 +50,13 @@
     await this.pool.destroy();
   }
 }
+
+/** Certificates are bound to the deployment's authority and not to an address. */
+export function createTlsOptions(keys: links.Keys): tls.ConnectionOptions {
+  return {
+    key: keys.key,
+    cert: keys.certificate,
+    ca: keys.authority,
+    checkServerIdentity: () => undefined,
+  };
+}
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -2,8 +2,11 @@
  * An HTTP server as a task: it owns its socket, and a planned stop waits for the answers in flight.
  */
 import * as http from 'node:http';
+import * as https from 'node:https';
 import type * as net from 'node:net';
+import type * as tls from 'node:tls';
 import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
 import polka from 'polka';
 import * as headers from '../types/headers';
 import type * as supervisors from './supervisor';
@@ -27,6 +30,10 @@
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const MILLISECONDS_PER_SECOND = 1000;
 const INTERNAL_ERROR = 500;
+const KEY_REFRESH_INTERVAL_MS = 5000;
+
+/** Reads the keys of a TLS server. */
+export type ReadKeys = () => links.Keys;
 
 /** An HTTP server with routes. */
 export class HttpTask implements supervisors.Task {
@@ -40,7 +47,9 @@
     },
   });
 
-  private server: http.Server | undefined;
+  private server: http.Server | https.Server | undefined;
+
+  private keyTimer: NodeJS.Timeout | undefined;
 
   private inFlight = 0;
 
@@ -50,11 +59,20 @@
     private readonly address: string,
     private readonly port: number,
     private readonly drainTimeoutMs: number,
+    private readonly readKeys: ReadKeys | undefined,
   ) {}
 
-  /** @param port 0 takes any free port */
-  static create(address: string, port: number, drainTimeoutMs: number): HttpTask {
-    return new HttpTask(address, port, drainTimeoutMs);
+  /**
+   * @param port 0 takes any free port
+   * @param readKeys reads the keys of a TLS server; without it the server speaks plain text
+   */
+  static create(
+    address: string,
+    port: number,
+    drainTimeoutMs: number,
+    readKeys?: ReadKeys,
+  ): HttpTask {
+    return new HttpTask(address, port, drainTimeoutMs, readKeys);
   }
 
   /** The port taken. */
@@ -76,16 +94,7 @@
   }
 
   start(): Promise<void> {
-    const server = http.createServer(
-      { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: 0 },
-      (request, response) => {
-        this.inFlight += 1;
-        response.on('close', () => {
-          this.inFlight -= 1;
-        });
-        this.app.handler(request as polka.Request, response);
-      },
-    );
+    const server = this.createServer();
     this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
@@ -96,7 +105,29 @@
     });
   }
 
+  private createServer(): http.Server | https.Server {
+    const options = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: 0 };
+    const listener = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+      this.inFlight += 1;
+      response.on('close', () => {
+        this.inFlight -= 1;
+      });
+      this.app.handler(request as polka.Request, response);
+    };
+    if (!this.readKeys) return http.createServer(options, listener);
+    const { readKeys } = this;
+    const server = https.createServer(
+      { ...options, ...toTlsOptions(readKeys()), requestCert: true, rejectUnauthorized: false },
+      listener,
+    );
+    this.keyTimer = setInterval(() => {
+      server.setSecureContext(toTlsOptions(readKeys()));
+    }, KEY_REFRESH_INTERVAL_MS);
+    return server;
+  }
+
   async stop(): Promise<void> {
+    clearInterval(this.keyTimer);
     const { server } = this;
     if (!server) return;
     server.close();
@@ -112,6 +143,16 @@
   }
 }
 
+/** Whether the other end showed a key of this deployment; always true without TLS. */
+export function isPeer(request: http.IncomingMessage): boolean {
+  const socket = request.socket as Partial<tls.TLSSocket>;
+  return socket.encrypted ? socket.authorized === true : true;
+}
+
+function toTlsOptions(keys: links.Keys): tls.SecureContextOptions {
+  return { key: keys.key, cert: keys.certificate, ca: keys.authority };
+}
+
 /** Sends a JSON answer. */
 export function sendJson(
   response: http.ServerResponse,
--- a/packages/daemon/src/core/observability.ts
+++ b/packages/daemon/src/core/observability.ts
@@ -1,6 +1,7 @@
 /**
  * The routes that every daemon has for those who watch it: `/metrics`, `/healthz` and `/readyz`.
  */
+import * as links from '@azureworks/links';
 import * as httpTask from './http-task';
 import type * as metrics from './metrics';
 
@@ -27,6 +28,10 @@
   });
   const processMetrics: [string, () => number][] = [
     ['resident_bytes', () => process.memoryUsage().rss],
+    ['control_sent_bytes', () => links.CONTROL_TRAFFIC.sentBytes],
+    ['control_received_bytes', () => links.CONTROL_TRAFFIC.receivedBytes],
+    ['control_sent_messages', () => links.CONTROL_TRAFFIC.sentMessages],
+    ['control_received_messages', () => links.CONTROL_TRAFFIC.receivedMessages],
     ['processor_microseconds', () => process.cpuUsage().user + process.cpuUsage().system],
   ];
   processMetrics.forEach(([name, read]) => sharedMetrics.gauge(name, {}, read));
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -11,7 +11,7 @@
 import * as attempts from './attempt';
 import type * as directories from './directory';
 import type * as requests from './request';
-import * as settlements from './settlement';
+import type * as settlements from './settlement';
 import * as joiners from './stream-joiner';
 import * as pauses from '../utils/pause';
 
@@ -22,6 +22,7 @@
   readonly clock: decisions.Clock;
   readonly random: decisions.Random;
   readonly retryBudget: decisions.RetryBudget;
+  readonly settler: settlements.Settler;
   /** The name and incarnation of the entry, the first part of every attempt id. */
   readonly entryId: string;
 }
@@ -44,7 +45,7 @@
 let attemptNumber = 0;
 
 /** One request on its way. */
-export class Call {
+export class Call implements directories.InFlightCall {
   private readonly excluded = new Set<string>();
 
   private readonly verdicts: decisions.VerdictKind[] = [];
@@ -94,6 +95,11 @@
     this.attempt?.abort();
   }
 
+  /** An idempotent request does not wait for a silent target; any other has to. */
+  noteSilence(): void {
+    if (this.request.isIdempotent) this.attempt?.abort();
+  }
+
   /** How far the current attempt has come; undefined while none is under way. */
   getProgress(): { readonly runningMs: number; readonly produced: number } | undefined {
     if (!this.attempt) return undefined;
@@ -151,11 +157,11 @@
   private createPlace(target: directories.DirectoryTarget): settlements.AttemptPlace {
     attemptNumber += 1;
     const number = attemptNumber.toString(ATTEMPT_NUMBER_RADIX);
-    const { address, httpPort, incarnation } = target.hello;
+    const { hello } = target;
     return {
       attempt: `${this.context.entryId}-${number}`,
-      url: `http://${address}:${httpPort}`,
-      incarnation,
+      url: this.context.directory.createUrl(hello),
+      incarnation: hello.incarnation,
     };
   }
 
@@ -179,7 +185,9 @@
       ...(this.resume && { resume: this.resume }),
       ...(this.sink && { sink: this.sink }),
     });
+    target.calls.add(this);
     const outcome = await this.attempt.run();
+    target.calls.delete(this);
     this.attempt = undefined;
     target.candidate.inFlight -= 1;
     this.noteOutcome(target, outcome, clock.nowMs() - startMs);
@@ -227,7 +235,7 @@
 
   private settle(place: settlements.AttemptPlace): Promise<settlements.Settlement> {
     const remainingMs = this.request.deadlineMs - this.context.clock.nowMs();
-    return settlements.settleAttempt(place, Math.max(0, Math.min(SETTLE_WAIT_MS, remainingMs)));
+    return this.context.settler.settle(place, Math.max(0, Math.min(SETTLE_WAIT_MS, remainingMs)));
   }
 
   private mayRetry(verdict: decisions.VerdictKind, failure: decisions.Failure): boolean {
--- a/packages/daemon/src/entry/claims.ts
+++ b/packages/daemon/src/entry/claims.ts
@@ -12,7 +12,7 @@
 import * as platform from '@azureworks/platform';
 import type * as metrics from '../core/metrics';
 import type * as requests from './request';
-import * as settlements from './settlement';
+import type * as settlements from './settlement';
 import * as pauses from '../utils/pause';
 
 /** Where a claim stands. */
@@ -31,6 +31,13 @@
   readonly body: string;
 }
 
+/** What every claim of an entry shares. */
+export interface ClaimContext {
+  readonly clock: decisions.Clock;
+  readonly metrics: metrics.Metrics;
+  readonly settler: settlements.Settler;
+}
+
 /** The outcome of asking for a claim. */
 export type ClaimOutcome =
   | { readonly kind: 'granted' }
@@ -53,20 +60,21 @@
   private constructor(
     private readonly tables: platform.TableService,
     private readonly key: string,
-    private readonly clock: decisions.Clock,
     private readonly deadlineMs: number,
-    private readonly metrics: metrics.Metrics,
+    private readonly context: ClaimContext,
   ) {}
 
-  /** @param key the service and the caller's id of the request */
+  /**
+   * @param key the service, the tenant and the caller's id of the request
+   * @param deadlineMs the deadline of the request, on the monotonic clock
+   */
   static create(
     tables: platform.TableService,
     key: string,
-    clock: decisions.Clock,
     deadlineMs: number,
-    sharedMetrics: metrics.Metrics,
+    context: ClaimContext,
   ): Claim {
-    return new Claim(tables, key, clock, deadlineMs, sharedMetrics);
+    return new Claim(tables, key, deadlineMs, context);
   }
 
   /** Asks for the right to hand the request over as the attempt at `place`. */
@@ -91,7 +99,7 @@
       if (result.isOk() || result.error.kind === platform.StoreFailureKind.Conflict) return;
       await pauses.pause(RECORD_PAUSE_MS);
     }
-    this.metrics.count('claims_unrecorded');
+    this.context.metrics.count('claims_unrecorded');
   }
 
   /** Gives the claim back after the request was proved not to have run. */
@@ -101,7 +109,7 @@
 
   private async tryAcquire(place: settlements.AttemptPlace): Promise<ClaimOutcome | undefined> {
     const written = await this.write({ state: ClaimState.Claimed, place });
-    this.metrics.count('claim_writes');
+    this.context.metrics.count('claim_writes');
     if (written.isOk()) {
       this.place = place;
       return { kind: 'granted' };
@@ -130,10 +138,10 @@
   }
 
   private async settleFormer(former: settlements.AttemptPlace): Promise<ClaimOutcome | undefined> {
-    const remainingMs = this.deadlineMs - this.clock.nowMs();
+    const remainingMs = this.deadlineMs - this.context.clock.nowMs();
     const waitMs = Math.max(0, Math.min(SETTLE_WAIT_MS, remainingMs));
-    const settlement = await settlements.settleAttempt(former, waitMs);
-    this.metrics.count('claims_settled', { outcome: settlement.kind });
+    const settlement = await this.context.settler.settle(former, waitMs);
+    this.context.metrics.count('claims_settled', { outcome: settlement.kind });
     if (settlement.kind === 'not-run') return undefined;
     if (settlement.kind === 'unknown') {
       return refuse(settlement.isOver ? 'outcome-unknown' : 'request-in-progress');
--- a/packages/daemon/src/entry/configuration-task.ts
+++ b/packages/daemon/src/entry/configuration-task.ts
@@ -136,14 +136,24 @@
   }
 
   /** Takes what a peer says about its revision. */
-  noteExchange(peer: string, revision: number, confirmedAgoMs: number | null): void {
-    if (revision > this.inForce.revision) {
-      this.catchUp(peer).catch(() => {});
-      return;
-    }
-    this.confirmation.noteContact(peer);
+  noteRevision(peer: string, revision: number): void {
+    if (revision > this.inForce.revision) this.catchUp(peer).catch(() => {});
+  }
+
+  /**
+   * Takes a peer's answer as a confirmation.
+   * @param ageMs milliseconds since the peer was asked: an answer may have waited while this
+   *   process was frozen
+   */
+  noteAnswer(
+    peer: string,
+    { revision, confirmedAgoMs }: Pick<links.Exchange, 'revision' | 'confirmedAgoMs'>,
+    ageMs: number,
+  ): void {
+    if (revision > this.inForce.revision) return;
+    this.confirmation.noteContact(peer, ageMs);
     if (revision === this.inForce.revision && confirmedAgoMs !== null) {
-      this.confirmation.confirm(confirmedAgoMs);
+      this.confirmation.confirm(confirmedAgoMs + ageMs);
     }
   }
 
@@ -299,7 +309,8 @@
   }
 
   private async poll(): Promise<void> {
-    const { store, metrics: sharedMetrics } = this.options;
+    const { store, metrics: sharedMetrics, clock } = this.options;
+    const askedMs = clock.nowMs();
     const head = await store.readHead();
     sharedMetrics.count('store_polls', { ok: String(head.isOk()) });
     if (head.isErr()) return;
@@ -308,6 +319,7 @@
       if (stored.isErr()) return;
       this.adopt(stored.value.revision, decisions.listFiles(stored.value.records));
     }
-    if (head.value.revision === this.inForce.revision) this.confirmation.confirm(0);
+    if (head.value.revision !== this.inForce.revision) return;
+    this.confirmation.confirm(clock.nowMs() - askedMs);
   }
 }
--- a/packages/daemon/src/entry/directory.ts
+++ b/packages/daemon/src/entry/directory.ts
@@ -7,6 +7,12 @@
 import * as forwarders from '../core/forwarder';
 import * as averages from '../utils/average';
 
+/** A request in flight, as far as the directory needs it. */
+export interface InFlightCall {
+  /** Called when the target has not been heard from for too long. */
+  noteSilence(): void;
+}
+
 /** A target that said hello on its link. */
 export interface DirectoryTarget {
   readonly hello: links.TargetHello;
@@ -15,6 +21,8 @@
   readonly forwarder: forwarders.Forwarder;
   readonly serviceTime: averages.MovingAverage;
   readonly joinedMs: number;
+  /** Requests in flight at the target. */
+  readonly calls: Set<InFlightCall>;
   isLeaving: boolean;
   lastHeardMs: number;
   weightVersions: Readonly<Record<string, number | null>>;
@@ -31,6 +39,9 @@
   readonly model: string | undefined;
 }
 
+/** The routing policies by name. */
+export type Policies = Readonly<Record<string, decisions.Policy>>;
+
 /** A target that has not been heard from for this long gets no new work. */
 const SILENCE_BOUND_MS = 1800;
 
@@ -45,18 +56,27 @@
 
   private readonly capacities = new Map<string, number>();
 
+  private readonly routings = new Map<string, string>();
+
   private constructor(
     private readonly failureDomain: string,
-    private readonly policy: decisions.Policy,
+    private readonly policies: Policies,
     private readonly clock: decisions.Clock,
+    private readonly readKeys: (() => links.Keys) | undefined,
   ) {}
 
   static create(
     failureDomain: string,
-    policy: decisions.Policy,
+    policies: Policies,
     clock: decisions.Clock,
+    readKeys?: () => links.Keys,
   ): Directory {
-    return new Directory(failureDomain, policy, clock);
+    return new Directory(failureDomain, policies, clock, readKeys);
+  }
+
+  /** Sets the routing policy of a service. */
+  setRouting(service: string, routing: string): void {
+    this.routings.set(service, routing);
   }
 
   /** Sets the capacity of every target of a service, from the configuration. */
@@ -149,10 +169,19 @@
       target.candidate.warmth = measureWarmth(target, nowMs);
     });
     const candidates = available.map((target) => target.candidate);
-    const chosen = this.policy.choose(query.placement, candidates);
+    const routing = this.routings.get(query.service) ?? decisions.AffinityPolicy.NAME;
+    const chosen = this.policies[routing].choose(query.placement, candidates);
     return available.find((target) => target.candidate === chosen);
   }
 
+  /** Tells the calls at targets that fell silent, so that they can go elsewhere. */
+  sweepSilent(): void {
+    const oldestMs = this.clock.nowMs() - SILENCE_BOUND_MS;
+    this.listAll()
+      .filter((target) => target.lastHeardMs < oldestMs)
+      .forEach((target) => [...target.calls].forEach((call) => call.noteSilence()));
+  }
+
   /** Room for more requests over all targets of a service, other entries' load taken into account. */
   countRoom(service: string, model: string | undefined): number {
     return this.listAvailable(service, model).reduce((sum, { candidate }) => {
@@ -161,6 +190,11 @@
     }, 0);
   }
 
+  /** Base URL of the work port of a target daemon. */
+  createUrl({ address, httpPort }: links.TargetHello): string {
+    return `${this.readKeys ? 'https' : 'http'}://${address}:${httpPort}`;
+  }
+
   private createTarget(hello: links.TargetHello, isJoiningLate: boolean): DirectoryTarget {
     const nowMs = this.clock.nowMs();
     return {
@@ -177,9 +211,10 @@
         warmth: 1,
       },
       health: decisions.HealthTracker.create(),
-      forwarder: forwarders.Forwarder.create(`http://${hello.address}:${hello.httpPort}`),
+      forwarder: forwarders.Forwarder.create(this.createUrl(hello), this.readKeys?.()),
       serviceTime: averages.MovingAverage.create(SERVICE_TIME_WEIGHT, 1),
       joinedMs: isJoiningLate ? nowMs : -Infinity,
+      calls: new Set(),
       isLeaving: false,
       lastHeardMs: nowMs,
       weightVersions: {},
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -70,9 +70,8 @@
 
   /** A caller that goes away does not end a claimed request: its answer is kept for the next try. */
   private async serveClaimed(request: requests.Request): Promise<calls.CallResult> {
-    const { clock, metrics } = this.context;
     const key = `${request.service}:${request.tenant}:${request.requestId}`;
-    const claim = claims.Claim.create(this.tables, key, clock, request.deadlineMs, metrics);
+    const claim = claims.Claim.create(this.tables, key, request.deadlineMs, this.context);
     let known: requests.Answer | undefined;
     const permit = async (
       place: settlements.AttemptPlace,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -12,6 +12,7 @@
 import * as metrics from '../core/metrics';
 import * as observability from '../core/observability';
 import * as supervisor from '../core/supervisor';
+import * as tls from '../core/tls';
 import * as groupExecutor from '../rollout/group-executor';
 import * as rolloutTask from '../rollout/rollout-task';
 import * as trainerApi from '../rollout/trainer-api';
@@ -27,6 +28,7 @@
 import * as linksTask from './links-task';
 import * as membershipTask from './membership-task';
 import * as operatorApi from './operator-api';
+import * as settlements from './settlement';
 
 /** How long the balancer is given to see that the entry is not ready. */
 const LEAVING_NOTICE_MS = 300;
@@ -95,10 +97,19 @@
       readHttpPort: () => http.listeningPort,
     });
     configurationOwner.setSpreader(membership);
-    const policy = decisions.AffinityPolicy.create();
-    const directory = directories.Directory.create(daemon.failure_domain, policy, clock);
+    const policies = createPolicies();
+    const readKeys = tls.createKeyReader(settings);
+    const directory = directories.Directory.create(
+      daemon.failure_domain,
+      policies,
+      clock,
+      readKeys,
+    );
     configurationOwner.changes.subscribe(({ configuration: current }) => {
-      current.engines.forEach((engine, name) => directory.setCapacity(name, engine.capacity));
+      current.engines.forEach((engine, name) => {
+        directory.setCapacity(name, engine.capacity);
+        directory.setRouting(name, engine.routing);
+      });
       current.services.forEach((plain, name) => directory.setCapacity(name, plain.capacity));
     });
     const linkTask = linksTask.LinksTask.create({
@@ -123,6 +134,7 @@
         configurationOwner.current.configuration.limits.retry_share,
         RETRY_RESERVE,
       ),
+      settler: settlements.Settler.create(readKeys),
       entryId: `${daemon.name}-${incarnation}`,
     };
     const dispatcher = dispatchers.Dispatcher.create(context, admission, platform.tables);
@@ -213,6 +225,15 @@
   }
 }
 
+function createPolicies(): directories.Policies {
+  const policies = [
+    decisions.AffinityPolicy.create(),
+    decisions.LeastRequestsPolicy.create(),
+    decisions.RoundRobinPolicy.create(),
+  ];
+  return Object.fromEntries(policies.map((policy) => [policy.name, policy]));
+}
+
 /** The token is read whenever it is needed, so that a new one takes effect without a restart. */
 function readToken(settings: configuration.Settings): string | undefined {
   const file = settings.operator.token_file;
--- a/packages/daemon/src/entry/knowledge.ts
+++ b/packages/daemon/src/entry/knowledge.ts
@@ -42,11 +42,6 @@
     return this.positions.get(trainer)?.version ?? 0;
   }
 
-  /** The newest orders for an engine service, one for each model. */
-  listOrdersFor(engine: string): links.WeightsOrder[] {
-    return this.listOrders().filter((order) => order.engine === engine);
-  }
-
   listPositions(): links.TrainerPosition[] {
     return [...this.positions.values()];
   }
--- a/packages/daemon/src/entry/links-task.ts
+++ b/packages/daemon/src/entry/links-task.ts
@@ -13,6 +13,7 @@
 import type * as directories from './directory';
 import type * as knowledge from './knowledge';
 import type * as membershipTask from './membership-task';
+import * as orderSenders from './order-sender';
 
 /** What the links task needs. */
 export interface LinksTaskOptions {
@@ -41,6 +42,8 @@
   readonly machine: machines.Machine<LinkState, LinkEvent>;
   client?: links.LinkClient;
   hello?: links.TargetHello;
+  /** The `sentMs` of the last load report; undefined before the first. */
+  heardMs?: number;
   /** The slice that the target was sent last, as text. */
   sentSlice: string;
   retryMs: number;
@@ -49,6 +52,7 @@
 
 const CONFIRM_INTERVAL_MS = 1000;
 const HEARTBEAT_MS = 500;
+const ORDER_INTERVAL_MS = 100;
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 1000;
 
@@ -58,6 +62,10 @@
 
   private readonly openLinks = new Map<string, Link>();
 
+  private readonly orderSender: orderSenders.OrderSender;
+
+  private orderTimer: NodeJS.Timeout | undefined;
+
   private readonly wanted = new Map<string, platform.Vm>();
 
   /** The VM list read last, as text. */
@@ -71,7 +79,12 @@
     const { membership, configuration, knowledge: shared } = options;
     membership.vmLists.subscribe((vms) => this.takeVms(vms));
     configuration.changes.subscribe(() => this.sendRevisions());
-    shared.newOrders.subscribe((order) => this.sendOrder(order));
+    shared.newOrders.subscribe(() => this.advanceOrders());
+    this.orderSender = orderSenders.OrderSender.create(
+      options.directory,
+      options.clock,
+      (target, order) => this.sendOrder(target, order),
+    );
     options.metrics.gauge('links', {}, () => this.countOpen());
   }
 
@@ -82,11 +95,13 @@
   async start(): Promise<void> {
     this.isStopped = false;
     this.timer = setInterval(() => this.sendRevisions(), CONFIRM_INTERVAL_MS);
+    this.orderTimer = setInterval(() => this.advanceOrders(), ORDER_INTERVAL_MS);
   }
 
   async stop(): Promise<void> {
     this.isStopped = true;
     clearInterval(this.timer);
+    clearInterval(this.orderTimer);
     [...this.openLinks.values()].forEach((link) => this.drop(link));
   }
 
@@ -169,6 +184,7 @@
     const { hello } = link;
     if (hello) this.options.directory.remove(hello.service, hello.name, hello.incarnation);
     delete link.hello;
+    delete link.heardMs;
     if (this.isStopped) return;
     link.timer = setTimeout(() => this.connect(link), link.retryMs);
     link.retryMs = Math.min(LONGEST_RETRY_MS, link.retryMs * 2);
@@ -185,6 +201,9 @@
     if (!hello) return;
     if (message.kind === links.LinkMessageKind.Load) {
       directory.noteLoad(hello.service, hello.name, message.load);
+      const isFirst = link.heardMs === undefined;
+      link.heardMs = message.load.sentMs;
+      if (isFirst) this.sendRevision(link);
       return;
     }
     directory.noteLeaving(hello.service, hello.name);
@@ -196,10 +215,6 @@
     link.retryMs = FIRST_RETRY_MS;
     link.machine.send('hello');
     this.options.directory.add(hello);
-    this.sendRevision(link);
-    this.options.knowledge
-      .listOrdersFor(hello.service)
-      .forEach((order) => link.client?.send({ kind: links.LinkMessageKind.Weights, order }));
   }
 
   private sendRevisions(): void {
@@ -212,13 +227,14 @@
   private sendRevision(link: Link): void {
     const { configuration } = this.options;
     const slice = this.createSlice(link);
-    if (!slice) return;
+    if (!slice || link.heardMs === undefined) return;
     const text = JSON.stringify(slice) + configuration.current.revision;
     const confirmedAgoMs = configuration.getConfirmedAgeMs();
     link.client?.send({
       kind: links.LinkMessageKind.Revision,
       revision: configuration.current.revision,
       confirmedAgoMs,
+      echoMs: link.heardMs,
       ...(text !== link.sentSlice && { slice }),
     });
     // An unconfirmed revision is not taken, so its slice must be sent again.
@@ -234,9 +250,16 @@
     return plain && { capacity: plain.capacity, fencing: 'ignored' };
   }
 
-  private sendOrder(order: links.WeightsOrder): void {
+  private advanceOrders(): void {
+    const { engines } = this.options.configuration.current.configuration;
+    this.options.knowledge
+      .listOrders()
+      .forEach((order) => this.orderSender.advance(order, engines.get(order.engine)));
+  }
+
+  private sendOrder(target: string, order: links.WeightsOrder): void {
     this.openLinks.forEach((link) => {
-      if (link.hello?.service !== order.engine) return;
+      if (link.hello?.name !== target) return;
       link.client?.send({ kind: links.LinkMessageKind.Weights, order });
     });
   }
--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -264,10 +264,13 @@
 
   private async exchangeWith(peer: links.Member): Promise<boolean> {
     const client = this.openClient(peer);
+    const askedMs = this.options.clock.nowMs();
     const result = await client.exchange(this.createExchange(), EXCHANGE_TIMEOUT_MS);
     this.options.metrics.count('exchanges', { ok: String(result.isOk()) });
     if (result.isErr()) return false;
     this.takeExchange(result.value);
+    const ageMs = this.options.clock.nowMs() - askedMs;
+    this.options.configuration.noteAnswer(peer.name, result.value, ageMs);
     return true;
   }
 
@@ -290,7 +293,7 @@
       if (this.view?.merge(member)) this.noteMember(member);
     });
     this.view?.noteAnswer(message.from.name);
-    configuration.noteExchange(message.from.name, message.revision, message.confirmedAgoMs);
+    configuration.noteRevision(message.from.name, message.revision);
     message.positions.forEach((position) => knowledge.notePosition(position));
     message.orders.forEach((order) => knowledge.noteOrder(order));
   }
--- a/packages/daemon/src/entry/settlement.ts
+++ b/packages/daemon/src/entry/settlement.ts
@@ -2,7 +2,9 @@
  * Asks a target daemon what became of an attempt whose answer was lost. The daemon bars the attempt
  * when it was not handed over yet, which turns "may have run" into a proven "not run".
  */
+import type * as links from '@azureworks/links';
 import * as undici from 'undici';
+import * as forwarders from '../core/forwarder';
 import * as headers from '../types/headers';
 import type * as requests from './request';
 
@@ -33,18 +35,34 @@
 
 const EXTRA_TIMEOUT_MS = 1000;
 
-/** Settles an attempt, waiting up to `waitMs` for one that is still running. */
-export async function settleAttempt(place: AttemptPlace, waitMs: number): Promise<Settlement> {
-  const path = `/attempts/${encodeURIComponent(place.attempt)}/settle`;
-  try {
-    const response = await undici.request(`${place.url}${path}?wait_ms=${Math.round(waitMs)}`, {
-      method: 'POST',
-      headers: { [headers.Header.Incarnation]: String(place.incarnation) },
-      signal: AbortSignal.timeout(waitMs + EXTRA_TIMEOUT_MS),
+/** Settles attempts with target daemons. */
+export class Settler {
+  private constructor(private readonly readKeys: (() => links.Keys) | undefined) {}
+
+  /** @param readKeys reads the keys to show to target daemons; absent without TLS */
+  static create(readKeys?: () => links.Keys): Settler {
+    return new Settler(readKeys);
+  }
+
+  /** Settles an attempt, waiting up to `waitMs` for one that is still running. */
+  async settle(place: AttemptPlace, waitMs: number): Promise<Settlement> {
+    const keys = this.readKeys?.();
+    const client = new undici.Client(place.url, {
+      connect: { timeout: EXTRA_TIMEOUT_MS, ...(keys && forwarders.createTlsOptions(keys)) },
     });
-    return interpret((await response.body.json()) as SettleAnswer);
-  } catch {
-    return { kind: 'unknown', isOver: false };
+    try {
+      const response = await client.request({
+        method: 'POST',
+        path: `/attempts/${encodeURIComponent(place.attempt)}/settle?wait_ms=${Math.round(waitMs)}`,
+        headers: { [headers.Header.Incarnation]: String(place.incarnation) },
+        signal: AbortSignal.timeout(waitMs + EXTRA_TIMEOUT_MS),
+      });
+      return interpret((await response.body.json()) as SettleAnswer);
+    } catch {
+      return { kind: 'unknown', isOver: false };
+    } finally {
+      await client.destroy();
+    }
   }
 }
 
--- a/packages/daemon/src/rollout/sample-run.ts
+++ b/packages/daemon/src/rollout/sample-run.ts
@@ -71,7 +71,8 @@
 
   /** Begins again with newer weights when the answer under way would be too old. */
   noteVersion(trainerVersion: number): void {
-    const { stalenessBound } = this.sample;
+    const { stalenessBound, trainer } = this.sample;
+    if (!trainer.restart_early) return;
     this.startVersion ??= this.call?.joiner.readFirstVersion();
     if (this.startVersion === undefined) return;
     if (!decisions.isDoomed(this.startVersion, trainerVersion, stalenessBound)) return;
--- a/packages/daemon/src/target/links-task.ts
+++ b/packages/daemon/src/target/links-task.ts
@@ -53,6 +53,7 @@
   private constructor(private readonly options: LinksTaskOptions) {
     options.metrics.gauge('links', {}, () => this.openLinks.size);
     options.metrics.gauge('revision', {}, () => options.state.revision);
+    options.metrics.gauge('revision_confirmed', {}, () => (options.state.isConfirmed ? 1 : 0));
   }
 
   static create(options: LinksTaskOptions): LinksTask {
@@ -121,7 +122,7 @@
       this.orders.publish(message.order);
       return;
     }
-    this.takeRevision(openLink, message.revision, message.confirmedAgoMs, message.slice);
+    this.takeRevision(openLink, message);
   }
 
   close(link: links.TargetLink): void {
@@ -130,14 +131,14 @@
 
   private takeRevision(
     openLink: OpenLink,
-    revision: number,
-    confirmedAgoMs: number | null,
-    slice: links.Slice | undefined,
+    { revision, confirmedAgoMs, echoMs, slice }: links.RevisionMessage,
   ): void {
     if (confirmedAgoMs === null) return;
-    const { state, work: workTask, log } = this.options;
+    const { state, work: workTask, log, clock } = this.options;
     const before = state.revision;
-    if (!state.confirm(revision, confirmedAgoMs, slice)) return;
+    // A message may have waited while this process was frozen; the echo dates it.
+    const ageMs = confirmedAgoMs + clock.nowMs() - echoMs;
+    if (!state.confirm(revision, ageMs, slice)) return;
     if (slice) workTask.applyCapacity();
     if (state.revision === before) return;
     log.change('revision', { revision: state.revision, previous: before });
@@ -160,6 +161,7 @@
         queued: workTask.queue.queued,
         running: workTask.queue.running,
         revision: state.revision,
+        sentMs: openLink.sentMs,
         weightVersions: { ...state.weightVersions },
         serviceTimeMs: workTask.serviceTimeMs,
       },
--- a/packages/daemon/src/target/target.ts
+++ b/packages/daemon/src/target/target.ts
@@ -11,6 +11,7 @@
 import * as metrics from '../core/metrics';
 import * as observability from '../core/observability';
 import * as supervisor from '../core/supervisor';
+import * as tls from '../core/tls';
 import * as linksTask from './links-task';
 import * as states from './target-state';
 import * as weightsTask from './weights-task';
@@ -48,6 +49,7 @@
       daemon.address,
       daemon.http_port,
       daemon.drain_timeout_ms,
+      tls.createKeyReader(settings),
     );
     const isEngine = target.kind === 'engine';
     const work = workTask.WorkTask.create({
@@ -76,10 +78,12 @@
       state,
       metrics: sharedMetrics,
       log,
+      clock,
       cutStreams: () => work.cutStreams(),
       announceLoad: () => linkTask.announceLoad(),
     });
     linkTask.orders.subscribe((order) => weights.take(order));
+    work.losses.subscribe(() => weights.noteEngineLost());
     observability.addObservability(
       http,
       sharedMetrics,
--- a/packages/daemon/src/target/weights-task.ts
+++ b/packages/daemon/src/target/weights-task.ts
@@ -25,6 +25,7 @@
   readonly state: states.TargetState;
   readonly metrics: metrics.Metrics;
   readonly log: logs.Log;
+  readonly clock: decisions.Clock;
   /** Called when the weight version became unknown in the middle of answers. */
   cutStreams(): void;
   /** Called when the versions changed. */
@@ -35,6 +36,7 @@
 const RETRY_PAUSE_MS = 300;
 const LOAD_TIMEOUT_MS = 120_000;
 const REPORT_TIMEOUT_MS = 2000;
+const REPORT_LAG_BOUND_MS = 3000;
 const OK = 200;
 
 /** Obeys weight orders for one engine. */
@@ -51,8 +53,11 @@
 
   private isStopped = false;
 
-  /** Whether the engine's own report may still be believed: no order was obeyed yet. */
-  private isReportTrusted = true;
+  /** Since when the engine's report has differed from what was confirmed, for each model. */
+  private readonly differsSinceMs = new Map<string, number>();
+
+  /** Models whose order is being given to the engine. */
+  private readonly loading = new Set<string>();
 
   private constructor(private readonly options: WeightsTaskOptions) {
     this.mailbox = mailboxes.Mailbox.create(
@@ -121,8 +126,9 @@
   /** Gives the order to the engine; returns whether the engine confirmed it. */
   private async load(order: links.WeightsOrder): Promise<boolean> {
     const { model, version, fence } = order;
-    this.isReportTrusted = false;
+    this.loading.add(model);
     const outcome = await this.sendOrder(model, version, fence);
+    this.loading.delete(model);
     this.options.metrics.count('weight_loads', { outcome });
     const isLoaded = outcome === 'loaded';
     this.setVersion(model, isLoaded ? version : null);
@@ -152,15 +158,44 @@
     this.options.announceLoad();
   }
 
-  /** Takes the versions from the engine's report until the first order was obeyed. */
+  /** Compares the engine's report, which lags, with what the engine confirmed. */
   private async readReport(): Promise<void> {
-    if (!this.isReportTrusted) return;
-    const versions = await this.fetchReport();
-    if (!versions || !this.isReportTrusted) return;
-    const before = JSON.stringify(this.options.state.weightVersions);
-    if (JSON.stringify(versions) === before) return;
-    this.options.state.weightVersions = versions;
-    this.options.announceLoad();
+    const report = await this.fetchReport();
+    if (!report) return;
+    const models = new Set([...Object.keys(report), ...this.wanted.keys()]);
+    models.forEach((model) => {
+      if (!this.loading.has(model)) this.compare(model, report[model] ?? null);
+    });
+  }
+
+  private compare(model: string, reported: number | null): void {
+    const { state, clock } = this.options;
+    if (state.weightVersions[model] === undefined && !this.wanted.has(model)) {
+      this.setVersion(model, reported);
+      return;
+    }
+    if (state.weightVersions[model] === reported) {
+      this.differsSinceMs.delete(model);
+      return;
+    }
+    const sinceMs = this.differsSinceMs.get(model) ?? clock.nowMs();
+    this.differsSinceMs.set(model, sinceMs);
+    if (clock.nowMs() - sinceMs >= REPORT_LAG_BOUND_MS) this.recheck(model);
+  }
+
+  /** The engine may have lost its weights: nothing is known until it confirms them again. */
+  private recheck(model: string): void {
+    this.differsSinceMs.delete(model);
+    this.options.metrics.count('weight_rechecks');
+    this.setVersion(model, null);
+    if (this.wanted.has(model)) this.mailbox.post(model);
+  }
+
+  /** Has every model confirmed again, after the connection to the engine was lost. */
+  noteEngineLost(): void {
+    this.wanted.forEach((_order, model) => {
+      if (!this.loading.has(model)) this.recheck(model);
+    });
   }
 
   private async fetchReport(): Promise<Record<string, number | null> | undefined> {
--- a/packages/daemon/src/target/work-run.ts
+++ b/packages/daemon/src/target/work-run.ts
@@ -23,6 +23,8 @@
   readonly isEngine: boolean;
   readonly ledger: ledgers.Ledger;
   formatLoad(): string;
+  /** Called when the target refused the connection. */
+  noteRefused(): void;
   /** Called once, when the target no longer works on the request. */
   close(hasRun: boolean): void;
 }
@@ -120,6 +122,7 @@
   fail(wasSent: boolean): void {
     if (this.isOver) return;
     if (!wasSent) {
+      this.options.noteRefused();
       this.options.ledger.finish(this.options.attempt);
       this.refuse();
       return;
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -10,6 +10,7 @@
 import * as httpTask from '../core/http-task';
 import type * as metrics from '../core/metrics';
 import type * as supervisors from '../core/supervisor';
+import * as topics from '../core/topic';
 import * as headers from '../types/headers';
 import * as averages from '../utils/average';
 import * as ledgers from './ledger';
@@ -44,6 +45,9 @@
 
   readonly queue = queues.WorkQueue.create(1);
 
+  /** Published when the target refused a connection. */
+  readonly losses = topics.Topic.create<string>();
+
   private readonly serviceTime = averages.MovingAverage.create(
     SERVICE_TIME_WEIGHT,
     INITIAL_SERVICE_TIME_MS,
@@ -106,6 +110,10 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (!httpTask.isPeer(request)) {
+      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
+      return;
+    }
     const bytes = await body.readBody(request, LARGEST_BODY_BYTES);
     if (bytes.isErr()) {
       httpTask.sendFailure(response, bytes.error);
@@ -191,6 +199,7 @@
       isEngine: this.options.isEngine,
       ledger: this.ledger,
       formatLoad: () => this.formatLoad(),
+      noteRefused: () => this.losses.publish(attempt),
       close: (hasRun) => {
         this.runs.delete(run);
         if (hasRun) this.serviceTime.add(clock.nowMs() - startMs);
@@ -207,6 +216,10 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (!httpTask.isPeer(request)) {
+      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
+      return;
+    }
     const { attempt } = request.params;
     const url = new URL(request.url, 'http://target');
     if (Number(request.headers[headers.Header.Incarnation]) !== this.options.incarnation) {
--- a/packages/decisions/__tests__/confirmation.test.ts
+++ b/packages/decisions/__tests__/confirmation.test.ts
@@ -17,7 +17,7 @@
   it('is kept up without the store by contact with more than half of the entries', () => {
     const clock = decisions.ManualClock.create();
     const confirmation = decisions.Confirmation.create(clock, 4000);
-    confirmation.noteContact('b');
+    confirmation.noteContact('b', 0);
     expect(confirmation.getAgeMs(ENTRIES, 'a')).toBe(0);
     clock.advance(2001);
     expect(confirmation.getAgeMs(ENTRIES, 'a')).toBeNull();
@@ -26,7 +26,7 @@
   it('is not kept up by a minority that lost the others', () => {
     const clock = decisions.ManualClock.create();
     const confirmation = decisions.Confirmation.create(clock, 4000);
-    confirmation.noteContact('b');
+    confirmation.noteContact('b', 0);
     expect(confirmation.getAgeMs(['a', 'b', 'c', 'd', 'e'], 'a')).toBeNull();
   });
 
@@ -35,4 +35,13 @@
     const confirmation = decisions.Confirmation.create(clock, 4000);
     expect(confirmation.getAgeMs(['a'], 'a')).toBeNull();
   });
+
+  it('does not take an answer for fresh that waited while this process was frozen', () => {
+    const clock = decisions.ManualClock.create();
+    const confirmation = decisions.Confirmation.create(clock, 4000);
+    clock.advance(6000);
+    confirmation.noteContact('b', 6000);
+    confirmation.confirm(6000);
+    expect(confirmation.getAgeMs(ENTRIES, 'a')).toBeNull();
+  });
 });
--- a/packages/decisions/src/core/confirmation.ts
+++ b/packages/decisions/src/core/confirmation.ts
@@ -29,9 +29,9 @@
     this.confirmedMs = Math.max(this.confirmedMs, this.time.nowMs() - ageMs);
   }
 
-  /** A peer with no higher revision answered just now. */
-  noteContact(peer: string): void {
-    this.contacts.set(peer, this.time.nowMs());
+  /** A peer with no higher revision answered a question that was sent `ageMs` ago. */
+  noteContact(peer: string, ageMs: number): void {
+    this.contacts.set(peer, this.time.nowMs() - ageMs);
   }
 
   /** A higher revision was taken: earlier contacts prove nothing about it. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,3 +47,4 @@
 export { Lease, type LeaseRow, type LeaseStep } from './core/lease';
 export { type Replica, chooseLoading } from './core/swap-waves';
 export { type SampleProgress, chooseStragglers } from './core/straggler';
+export { type AdmissionDecision, AdmissionQueue } from './core/admission-queue';
--- a/packages/decisions/src/policies/affinity.ts
+++ b/packages/decisions/src/policies/affinity.ts
@@ -41,7 +41,9 @@
 
 /** Prefix affinity with bounded load. */
 export class AffinityPolicy implements policy.Policy {
-  readonly name = 'affinity';
+  static readonly NAME = 'affinity';
+
+  readonly name = AffinityPolicy.NAME;
 
   static create(): AffinityPolicy {
     return new AffinityPolicy();
--- a/packages/links/src/core/control-server.ts
+++ b/packages/links/src/core/control-server.ts
@@ -4,7 +4,7 @@
 import * as grpc from '@grpc/grpc-js';
 import type * as credentials from '../types/credentials';
 import type * as messages from '../types/messages';
-import * as jsonCodec from './json-codec';
+import * as controlCodec from './control-codec';
 import * as services from './services';
 
 /** What an entry answers to its peers. */
@@ -28,7 +28,7 @@
   close(link: TargetLink): void;
 }
 
-const codec = jsonCodec.JsonCodec.create();
+const codec = controlCodec.CONTROL_CODEC;
 
 /** A gRPC server with the services that a role offers. */
 export class ControlServer {
--- a/packages/links/src/core/link-client.ts
+++ b/packages/links/src/core/link-client.ts
@@ -4,10 +4,10 @@
 import * as grpc from '@grpc/grpc-js';
 import type * as credentials from '../types/credentials';
 import type * as messages from '../types/messages';
-import * as jsonCodec from './json-codec';
+import * as controlCodec from './control-codec';
 import * as services from './services';
 
-const service = services.defineLinkService(jsonCodec.JsonCodec.create());
+const service = services.defineLinkService(controlCodec.CONTROL_CODEC);
 
 /** What the owner of a link is told. */
 export interface LinkEvents {
--- a/packages/links/src/core/peer-client.ts
+++ b/packages/links/src/core/peer-client.ts
@@ -5,10 +5,10 @@
 import * as neverthrow from 'neverthrow';
 import type * as credentials from '../types/credentials';
 import type * as messages from '../types/messages';
-import * as jsonCodec from './json-codec';
+import * as controlCodec from './control-codec';
 import * as services from './services';
 
-const service = services.definePeerService(jsonCodec.JsonCodec.create());
+const service = services.definePeerService(controlCodec.CONTROL_CODEC);
 
 /** A failed call; control calls are idempotent, so only the reason matters. */
 export interface CallFailure {
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -17,6 +17,7 @@
   type Load,
   type Member,
   type Probe,
+  type RevisionMessage,
   type ProbeAnswer,
   type Slice,
   type Snapshot,
@@ -28,6 +29,9 @@
 } from './types/messages';
 export { type Codec } from './types/codec';
 export { type CredentialSource } from './types/credentials';
+export { type TlsFiles } from './types/tls-files';
+export { type Keys, TlsCredentials, readKeys } from './plugins/tls-credentials';
+export { CONTROL_TRAFFIC } from './core/traffic';
 export { JsonCodec } from './core/json-codec';
 export { PlainCredentials } from './core/plain-credentials';
 export {
--- a/packages/links/src/types/messages.ts
+++ b/packages/links/src/types/messages.ts
@@ -162,17 +162,22 @@
     kind: zod.literal(LinkMessageKind.Revision),
     revision: count,
     confirmedAgoMs: durationMs.nullable(),
+    /** The `sentMs` of the last load report that the entry received on this link. */
+    echoMs: durationMs,
     slice: sliceSchema.optional(),
   }),
   zod.object({ kind: zod.literal(LinkMessageKind.Weights), order: weightsOrderSchema }),
 ]);
 /** A message from an entry to a target daemon. */
 export type EntryMessage = zod.infer<typeof entryMessageSchema>;
+export type RevisionMessage = Extract<EntryMessage, { kind: 'revision' }>;
 
 export const loadSchema = zod.object({
   queued: count,
   running: count,
   revision: count,
+  /** When the report was sent, on the target daemon's monotonic clock. */
+  sentMs: durationMs,
   /** The weight version of each model that an engine holds; null when it is unknown. */
   weightVersions: zod.record(name, count.nullable()),
   /** Smoothed service time of the target, in milliseconds. */
--- /dev/null
+++ b/packages/standins/__tests__/mutants/held-groups-ignored.js
@@ -0,0 +1,7 @@
+// What the trainer says it holds is ignored.
+const { StepCoordinator } = require('../../../daemon/dist/rollout/step-coordinator');
+
+const { take } = StepCoordinator.prototype;
+StepCoordinator.prototype.take = function takeIgnoring(request) {
+  return take.call(this, { ...request, held: request.held.slice(1) });
+};
--- /dev/null
+++ b/packages/standins/__tests__/mutants/label-names-first-version.js
@@ -0,0 +1,7 @@
+// A label names only the version that began the answer.
+const { StreamJoiner } = require('../../../daemon/dist/entry/stream-joiner');
+
+const { summarize } = StreamJoiner.prototype;
+StreamJoiner.prototype.summarize = function summarizeFirst() {
+  return { ...summarize.call(this), weightVersions: [this.readFirstVersion()] };
+};
--- /dev/null
+++ b/packages/standins/__tests__/mutants/revision-not-applied.js
@@ -0,0 +1,8 @@
+// A target daemon confirms every revision and applies none but the first.
+const { TargetState } = require('../../../daemon/dist/target/target-state');
+
+const { confirm } = TargetState.prototype;
+TargetState.prototype.confirm = function confirmOnly(revision, ageMs, slice) {
+  if (this.revision === 0) return confirm.call(this, revision, ageMs, slice);
+  return confirm.call(this, this.revision, ageMs, undefined);
+};
--- a/packages/standins/src/bin/experiment.ts
+++ b/packages/standins/src/bin/experiment.ts
@@ -3,8 +3,10 @@
  * Runs experiments on the stand-ins. Progress goes to standard error, results to standard output.
  */
 import * as commander from 'commander';
+import * as control from '../experiments/control';
 import * as demo from '../experiments/demo';
 import * as deployments from '../experiments/deployments';
+import * as policy from '../experiments/policy';
 import * as speed from '../experiments/speed';
 import * as transport from '../experiments/transport';
 
@@ -63,6 +65,29 @@
     print(await transport.compareTransports());
   });
 
+program
+  .command('policy')
+  .description('compare routing and admission with baselines, on seeded load in simulated time')
+  .option('--seed <n>', 'seed', '1')
+  .action((options: { seed: string }) => {
+    print(policy.comparePolicies(Number(options.seed)));
+    print(policy.measureDecisionCost(Number(options.seed)));
+  });
+
+program
+  .command('control')
+  .description('measure the cost of control against the number of daemons and changes')
+  .action(async () => {
+    print(await control.measureControl(deployments.DAPUR_BERSIH, showProgress));
+  });
+
+program
+  .command('spread')
+  .description('measure how long an accepted change takes to be in force everywhere')
+  .action(async () => {
+    print(await control.measureSpread(deployments.DAPUR_BERSIH, showProgress));
+  });
+
 program.parseAsync().catch((error: Error) => {
   process.stderr.write(`${error.message}\n`);
   process.exit(1);
--- a/packages/standins/src/core/caller.ts
+++ b/packages/standins/src/core/caller.ts
@@ -30,6 +30,8 @@
   refusedNotRun: number;
   mayHaveRun: number;
   unanswered: number;
+  /** Requests that were cut off after they had been sent. */
+  cut: number;
   /** Answers that are not the whole answer to their own request. */
   damaged: number;
   /** Completions that name no weight version or an unknown one. */
@@ -47,6 +49,7 @@
     refusedNotRun: 0,
     mayHaveRun: 0,
     unanswered: 0,
+    cut: 0,
     damaged: 0,
     unlabelled: 0,
   };
@@ -54,6 +57,9 @@
   /** Request ids that the caller was told did not run. */
   readonly refusedIds: string[] = [];
 
+  /** What the caller was told about each booking, try by try. */
+  readonly outcomes = new Map<string, string[]>();
+
   /** Request ids whose answer arrived. */
   readonly answeredIds: string[] = [];
 
@@ -91,6 +97,7 @@
       if (answered !== requestId) this.report.damaged += 1;
     }
     if (answer.verdict === 'not-run') this.refusedIds.push(requestId);
+    this.outcomes.set(requestId, [...(this.outcomes.get(requestId) ?? []), answer.verdict]);
     return answer;
   }
 
@@ -135,6 +142,7 @@
       this.report.unanswered += 1;
       const durationMs = performance.now() - startMs;
       const code = (error as NodeJS.ErrnoException).code ?? '';
+      if (code !== 'ECONNREFUSED') this.report.cut += 1;
       return { status: 0, verdict: 'unanswered', code, text: '', durationMs };
     }
   }
--- a/packages/standins/src/core/engine.ts
+++ b/packages/standins/src/core/engine.ts
@@ -61,6 +61,8 @@
   readonly startToken: number;
   position: number;
   readonly versions: Set<number | null>;
+  /** Wall-clock time of arrival, in milliseconds. */
+  readonly arrivedMs: number;
   outcome: 'queued' | 'running' | 'finished' | 'cancelled' | 'crashed';
   text: string;
 }
@@ -72,6 +74,8 @@
   failSwaps: number;
   /** Answers still to be cut in the middle. */
   cutAnswers: number;
+  /** Crashes, and comes back after this long with the weights that it was built with. */
+  crashMs: number;
 }
 
 const BAD_REQUEST = 400;
@@ -114,7 +118,9 @@
       slowFactor: 1,
       failSwaps: 0,
       cutAnswers: 0,
+      crashMs: 0,
     });
+    this.server.onFaultsSet = () => this.crash();
     this.server.add('post', '/v1/completions', (call) => this.complete(call));
     this.server.add('post', '/v1/weights', (call) => this.load(call));
     this.server.add('get', '/v1/load', () => this.report());
@@ -124,6 +130,22 @@
     return new EngineStandin(options);
   }
 
+  private crash(): void {
+    const { crashMs } = this.faults;
+    if (crashMs <= 0) return;
+    this.faults.crashMs = 0;
+    this.history
+      .filter((run) => run.outcome === 'queued' || run.outcome === 'running')
+      .forEach((run) => {
+        run.outcome = 'crashed';
+        run.response.destroy();
+      });
+    this.versions.clear();
+    this.versions.set(this.options.model, 0);
+    this.highestFence = 0;
+    this.server.refuse(crashMs);
+  }
+
   private readLog(): unknown {
     const runs = this.history.map((run) => ({
       requestId: run.requestId,
@@ -132,6 +154,7 @@
       tokens: run.position,
       versions: [...run.versions],
       outcome: run.outcome,
+      arrivedMs: run.arrivedMs,
     }));
     const { hits, misses } = this.cache;
     const cache = { hits, misses };
@@ -297,6 +320,7 @@
     startToken,
     position: startToken,
     versions: new Set(),
+    arrivedMs: Date.now(),
     outcome: 'queued',
     text: completion.stream ? '' : generation.makeText(prompt, seed, 0, startToken),
   };
--- a/packages/standins/src/core/plain-service.ts
+++ b/packages/standins/src/core/plain-service.ts
@@ -20,7 +20,7 @@
 export class PlainServiceStandin {
   readonly server: server.StandinServer;
 
-  private readonly bookings: { requestId: string; attempt: string }[] = [];
+  private readonly bookings: { requestId: string; attempt: string; arrivedMs: number }[] = [];
 
   private lookups = 0;
 
@@ -54,7 +54,7 @@
   private async book({ request }: server.Call): Promise<unknown> {
     const requestId = String(request.headers['idempotency-key'] ?? '');
     const attempt = String(request.headers['x-azureworks-attempt'] ?? '');
-    this.bookings.push({ requestId, attempt });
+    this.bookings.push({ requestId, attempt, arrivedMs: Date.now() });
     const number = this.bookings.length;
     await this.work();
     const body = { booking: `${this.options.name}-${number}`, request_id: requestId };
--- a/packages/standins/src/core/standin-server.ts
+++ b/packages/standins/src/core/standin-server.ts
@@ -17,6 +17,8 @@
   loseAnswers: number;
   /** Connections still to be cut before the request is read. */
   cutBefore: number;
+  /** Closes the port for this long, in milliseconds, once. */
+  refuseMs: number;
 }
 
 /** A request whose path matched a route. */
@@ -43,12 +45,25 @@
 
 /** An HTTP server with fault switches. */
 export class StandinServer {
-  readonly faults: Faults = { down: false, slowMs: 0, loseAnswers: 0, cutBefore: 0 };
+  readonly faults: Faults = {
+    down: false,
+    slowMs: 0,
+    loseAnswers: 0,
+    cutBefore: 0,
+    refuseMs: 0,
+  };
 
   private readonly app = polka();
 
   private server: http.Server | undefined;
 
+  private port = 0;
+
+  private address = '';
+
+  /** Called after the switches were set. */
+  onFaultsSet: (() => void) | undefined;
+
   private constructor(private readonly readLog: () => unknown) {
     this.app.get('/healthz', (_request, response) => sendJson(response, OK, {}));
     this.app.get('/log', (_request, response) => sendJson(response, OK, this.readLog()));
@@ -56,6 +71,7 @@
       readBody(request).then((body) => {
         Object.assign(this.faults, body);
         sendJson(response, OK, this.faults);
+        this.onFaults();
       });
     });
   }
@@ -79,11 +95,28 @@
       this.app.handler(request as polka.Request, response);
     });
     this.server = server;
+    this.address = address;
     return new Promise((resolve) => {
-      server.listen(port, address, () => resolve((server.address() as net.AddressInfo).port));
+      server.listen(port, address, () => {
+        this.port = (server.address() as net.AddressInfo).port;
+        resolve(this.port);
+      });
     });
   }
 
+  /** Refuses connections for a while, as a process that is being started again does. */
+  refuse(durationMs: number): void {
+    this.close();
+    setTimeout(() => this.server?.listen(this.port, this.address), durationMs);
+  }
+
+  private onFaults(): void {
+    const { refuseMs } = this.faults;
+    this.faults.refuseMs = 0;
+    if (refuseMs > 0) setImmediate(() => this.refuse(refuseMs));
+    this.onFaultsSet?.();
+  }
+
   /** Closes the port and every connection. */
   close(): void {
     this.server?.close();
--- a/packages/standins/src/core/trainer.ts
+++ b/packages/standins/src/core/trainer.ts
@@ -43,6 +43,9 @@
   readonly stepsDone: number;
   readonly asked: number;
   readonly received: number;
+  /** Requests for samples and announcements of weights that were attempted. */
+  readonly takes: number;
+  readonly announcements: number;
   readonly doubled: number;
   readonly unlabelled: number;
   /** Samples whose text is not the whole answer to their prompt. */
@@ -52,11 +55,19 @@
   readonly idleMs: number;
   readonly totalMs: number;
   readonly stepMs: readonly number[];
+  readonly labels: readonly SampleLabel[];
+}
+
+/** The label of a received sample and its staleness when it was handed over. */
+export interface SampleLabel {
+  readonly id: string;
+  readonly weightVersions: readonly number[];
+  readonly staleness: number;
 }
 
 const RETRY_PAUSE_MS = 200;
 const TAKE_WAIT_MS = 2000;
-const TAKE_TIMEOUT_MS = 10_000;
+const TIMEOUT_MS = 4000;
 const GROUPS_PER_TAKE = 8;
 const NOT_FOUND = 404;
 
@@ -66,6 +77,8 @@
 
   private readonly seen = new Set<string>();
 
+  private readonly labels: SampleLabel[] = [];
+
   private readonly held = new Map<string, Set<string>>();
 
   private readonly submitted = new Set<string>();
@@ -78,6 +91,12 @@
 
   private stepsDone = 0;
 
+  private isAnnouncing = false;
+
+  private takes = 0;
+
+  private announcements = 0;
+
   private received = 0;
 
   private doubled = 0;
@@ -114,7 +133,7 @@
       await this.trainStep(step);
       this.stepMs.push(performance.now() - startMs);
       this.stepsDone += 1;
-      await this.announce();
+      this.announceLater();
     }
     this.endMs = performance.now();
   }
@@ -166,6 +185,7 @@
       maximum_groups: GROUPS_PER_TAKE,
       wait_ms: TAKE_WAIT_MS,
     };
+    this.takes += 1;
     const result = await this.post(`steps/${createStepName(step)}/take`, body);
     if (result?.status === 200) return result.body as TakeAnswer;
     if (result?.status === NOT_FOUND) await this.submit(step);
@@ -195,6 +215,16 @@
     const staleness = Math.max(0, this.version - Math.min(...sample.weight_versions));
     this.stalenessMaximum = Math.max(this.stalenessMaximum, staleness);
     this.stalenessSum += staleness;
+    this.labels.push({ id: sample.id, weightVersions: sample.weight_versions, staleness });
+  }
+
+  /** Announces the next version without holding the training up. */
+  private announceLater(): void {
+    if (this.isAnnouncing) return;
+    this.isAnnouncing = true;
+    this.announce().finally(() => {
+      this.isAnnouncing = false;
+    });
   }
 
   private async announce(): Promise<void> {
@@ -204,6 +234,7 @@
   }
 
   private async postUntilAccepted(path: string, body: unknown): Promise<void> {
+    if (path === 'weights') this.announcements += 1;
     const result = await this.post(path, body);
     if (result && result.status < 300) return;
     await server.sleep(RETRY_PAUSE_MS);
@@ -222,7 +253,7 @@
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(TAKE_TIMEOUT_MS),
+        signal: AbortSignal.timeout(TIMEOUT_MS),
       });
       const answer = { status: response.statusCode, body: await response.body.json() };
       if (answer.status >= 500) this.entryIndex += 1;
@@ -242,6 +273,8 @@
       stepsDone: this.stepsDone,
       asked: steps * groups * members,
       received: this.received,
+      takes: this.takes,
+      announcements: this.announcements,
       doubled: this.doubled,
       unlabelled: this.unlabelled,
       damaged: this.damaged,
@@ -250,6 +283,7 @@
       idleMs: this.idleMs,
       totalMs: (this.endMs ?? performance.now()) - this.startMs,
       stepMs: this.stepMs,
+      labels: this.labels,
     };
   }
 }
--- a/packages/standins/src/experiments/fleet.ts
+++ b/packages/standins/src/experiments/fleet.ts
@@ -6,6 +6,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as undici from 'undici';
+import * as ports from './ports';
 import * as children from './process';
 
 /** A service and its targets. */
@@ -26,6 +27,8 @@
   readonly platformOptions: readonly string[];
   /** Options of the platform as the daemons see it. */
   readonly platformTimeoutMs: number;
+  /** Further flags of the runtime for every daemon. */
+  readonly runtimeFlags?: readonly string[];
 }
 
 /** A target and the daemon beside it. */
@@ -49,6 +52,7 @@
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 100;
 const OK = 200;
+const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
 
 const PACKAGES = path.resolve(__dirname, '..', '..', '..');
 const STANDIN_SCRIPT = path.join(PACKAGES, 'standins', 'dist', 'bin', 'standin.js');
@@ -99,8 +103,10 @@
   async addTarget(service: ServicePlan, index: number): Promise<FleetTarget> {
     const name = `${service.service}-${index + 1}`;
     const failureDomain = this.plan.failureDomains[index % this.plan.failureDomains.length];
+    const port = await ports.takePort();
     const standin = await children.ChildProcess.create(name, STANDIN_SCRIPT, [
       service.kind,
+      ...['--port', String(port)],
       ...['--name', name],
       ...(service.kind === 'engine' ? ['--platform', this.platform.url] : []),
       ...service.options,
@@ -112,21 +118,29 @@
       failureDomain,
       kind,
       standin,
-      daemon: await this.startTargetDaemon(name, service.service, kind, failureDomain, standin, {}),
+      daemon: await this.startTargetDaemon(
+        name,
+        service.service,
+        kind,
+        failureDomain,
+        standin,
+        await takeDaemonPorts(),
+      ),
     };
     this.targets.push(target);
+    this.targets.sort((first, second) => (first.name < second.name ? -1 : 1));
     return target;
   }
 
   /** Starts an entry. */
-  async addEntry(name: string, ports: children.ReportedPorts = {}): Promise<FleetEntry> {
+  async addEntry(name: string): Promise<FleetEntry> {
     const { failureDomains } = this.plan;
     const failureDomain = failureDomains[this.entries.length % failureDomains.length];
     const entry: FleetEntry = {
       name,
       failureDomain,
       daemon: await this.startDaemon(name, [
-        ...this.createCommonSettings(name, 'entry', failureDomain, ports),
+        ...this.createCommonSettings(name, 'entry', failureDomain, await takeDaemonPorts()),
       ]),
     };
     this.entries.push(entry);
@@ -136,22 +150,21 @@
 
   /** Starts the daemon of an entry again on the same ports. */
   async restartEntry(entry: FleetEntry): Promise<void> {
-    const { ports } = entry.daemon;
-    const settings = this.createCommonSettings(entry.name, 'entry', entry.failureDomain, ports);
+    const { name, failureDomain, daemon } = entry;
+    const settings = this.createCommonSettings(name, 'entry', failureDomain, daemon.ports);
     entry.daemon = await this.startDaemon(entry.name, settings);
   }
 
   /** Starts the daemon of a target again on the same ports. */
   async restartTargetDaemon(target: FleetTarget): Promise<void> {
     const { name, service, kind, failureDomain, standin } = target;
-    const { ports } = target.daemon;
     target.daemon = await this.startTargetDaemon(
       name,
       service,
       kind,
       failureDomain,
       standin,
-      ports,
+      target.daemon.ports,
     );
   }
 
@@ -253,10 +266,10 @@
     kind: string,
     failureDomain: string,
     standin: children.ChildProcess,
-    ports: children.ReportedPorts,
+    daemonPorts: children.ReportedPorts,
   ): Promise<children.ChildProcess> {
     return this.startDaemon(name, [
-      ...this.createCommonSettings(name, 'target', failureDomain, ports),
+      ...this.createCommonSettings(name, 'target', failureDomain, daemonPorts),
       '[target]',
       `service = ${service}`,
       `kind = ${kind}`,
@@ -268,15 +281,15 @@
     name: string,
     role: string,
     failureDomain: string,
-    ports: children.ReportedPorts,
+    daemonPorts: children.ReportedPorts,
   ): string[] {
     return [
       '[daemon]',
       `role = ${role}`,
       `name = ${name}`,
       `address = ${ADDRESS}`,
-      `http_port = ${ports.httpPort ?? 0}`,
-      `control_port = ${ports.controlPort ?? 0}`,
+      `http_port = ${daemonPorts.httpPort ?? 0}`,
+      `control_port = ${daemonPorts.controlPort ?? 0}`,
       `failure_domain = ${failureDomain}`,
       `region = ${this.plan.region}`,
       '[platform]',
@@ -292,13 +305,30 @@
       name,
       DAEMON_SCRIPT,
       ['--settings', file],
-      DAEMON_RUNTIME_FLAGS,
+      [...DAEMON_RUNTIME_FLAGS, ...(this.plan.runtimeFlags ?? [])],
     );
   }
 }
 
-/** Reads JSON over HTTP. */
+async function takeDaemonPorts(): Promise<children.ReportedPorts> {
+  return { httpPort: await ports.takePort(), controlPort: await ports.takePort() };
+}
+
+/** Reads JSON over HTTP; waits for a process that refuses connections for a while. */
 export async function getJson<T>(url: string): Promise<T> {
+  const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+  for (;;) {
+    try {
+      return await tryGetJson<T>(url);
+    } catch (error) {
+      const isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
+      if (!isRefused || performance.now() > deadlineMs) throw error;
+      await sleep(READY_POLL_MS);
+    }
+  }
+}
+
+async function tryGetJson<T>(url: string): Promise<T> {
   const response = await undici.request(url);
   if (response.statusCode !== OK) throw new Error(`${url} answered ${response.statusCode}`);
   return (await response.body.json()) as T;
