Learn the speed of targets from every attempt; move samples by observed speed

The service time of a target was learned from answers only, so a slow target that had answered nothing looked fast; the budget for moves was spent on samples that only waited in a queue; towards the end of a step the stragglers themselves set what counted as usual; the window of groups left places free while groups waited for their longest sample.

Change: speed in bytes a millisecond from every attempt, moved ones included; progress counts from the first event; usual is the middle target; a move is charged a fifth of an attempt; the window is six times the capacity.

--- /dev/null
+++ b/packages/daemon/__tests__/support/memory-tables.ts
@@ -0,0 +1,83 @@
+/**
+ * A table service in memory that fails as a seeded generator says: before the effect, after it, or
+ * not at all.
+ */
+import * as decisions from '@azureworks/decisions';
+import * as neverthrow from 'neverthrow';
+import * as platform from '@azureworks/platform';
+
+type Outcome = 'answered' | 'lost-after' | 'refused';
+
+function fail(verdict: decisions.VerdictKind): platform.StoreFailure {
+  return { kind: platform.StoreFailureKind.Unavailable, verdict, message: 'simulated' };
+}
+
+/** Rows in memory. */
+export class MemoryTables implements platform.TableService {
+  readonly rows = new Map<string, platform.Row>();
+
+  private writeNumber = 0;
+
+  private constructor(
+    private readonly random: decisions.Random,
+    private readonly failureShare: number,
+  ) {}
+
+  /** @param failureShare the share of operations that fail, half of them after their effect */
+  static create(random: decisions.Random, failureShare: number): MemoryTables {
+    return new MemoryTables(random, failureShare);
+  }
+
+  read<T>(table: string, key: string): platform.StoreResult<platform.Row<T> | undefined> {
+    return this.run(() => this.rows.get(`${table}/${key}`) as platform.Row<T> | undefined);
+  }
+
+  list<T>(table: string, prefix: string): platform.StoreResult<platform.Row<T>[]> {
+    return this.run(() =>
+      [...this.rows]
+        .filter(([path]) => path.startsWith(`${table}/${prefix}`))
+        .sort(([first], [second]) => (first < second ? -1 : 1))
+        .map(([, row]) => row as platform.Row<T>),
+    );
+  }
+
+  transact(writes: readonly platform.Write[]): platform.StoreResult<string[]> {
+    const outcome = this.draw();
+    if (outcome === 'refused') return neverthrow.errAsync(fail(decisions.VerdictKind.NotRun));
+    const conflict = writes.find((write) => !this.holds(write));
+    if (!conflict) writes.forEach((write) => this.apply(write));
+    if (outcome === 'lost-after')
+      return neverthrow.errAsync(fail(decisions.VerdictKind.MayHaveRun));
+    if (!conflict) return neverthrow.okAsync(writes.map(() => `e${this.writeNumber}`));
+    return neverthrow.errAsync({
+      kind: platform.StoreFailureKind.Conflict,
+      verdict: decisions.VerdictKind.NotRun,
+      message: 'simulated',
+      conflict: conflict.key,
+    });
+  }
+
+  private run<T>(act: () => T): platform.StoreResult<T> {
+    if (this.draw() === 'answered') return neverthrow.okAsync(act());
+    return neverthrow.errAsync(fail(decisions.VerdictKind.MayHaveRun));
+  }
+
+  private draw(): Outcome {
+    const drawn = this.random.next();
+    if (drawn >= this.failureShare) return 'answered';
+    return drawn < this.failureShare / 2 ? 'lost-after' : 'refused';
+  }
+
+  private holds(write: platform.Write): boolean {
+    const row = this.rows.get(`${write.table}/${write.key}`);
+    if (write.condition === platform.Condition.Any) return true;
+    if (write.condition === platform.Condition.Absent) return row === undefined;
+    return row?.etag === write.condition;
+  }
+
+  private apply(write: platform.Write): void {
+    this.writeNumber += 1;
+    const { key, value } = write;
+    this.rows.set(`${write.table}/${key}`, { key, value, etag: `e${this.writeNumber}` });
+  }
+}
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -20,7 +20,6 @@
   readonly directory: directories.Directory;
   readonly metrics: metrics.Metrics;
   readonly clock: decisions.Clock;
-  readonly random: decisions.Random;
   readonly retryBudget: decisions.RetryBudget;
   readonly settler: settlements.Settler;
   /** The name and incarnation of the entry, the first part of every attempt id. */
@@ -58,7 +57,7 @@
 
   private isMoving = false;
 
-  private attemptStartMs = 0;
+  private firstSeen: { readonly atMs: number; readonly size: number } | undefined;
 
   private attemptStartSize = 0;
 
@@ -100,11 +99,17 @@
     if (this.request.isIdempotent) this.attempt?.abort();
   }
 
-  /** How far the current attempt has come; undefined while none is under way. */
+  /**
+   * How fast the current attempt produces its answer, since it was first seen to produce anything:
+   * waiting in a queue says nothing about the speed of a target. Undefined before that.
+   */
   getProgress(): { readonly runningMs: number; readonly produced: number } | undefined {
-    if (!this.attempt) return undefined;
-    const runningMs = this.context.clock.nowMs() - this.attemptStartMs;
-    return { runningMs, produced: this.joiner.size - this.attemptStartSize };
+    const { size } = this.joiner;
+    if (!this.attempt || size === this.attemptStartSize) return undefined;
+    const nowMs = this.context.clock.nowMs();
+    this.firstSeen ??= { atMs: nowMs, size };
+    const { firstSeen } = this;
+    return { runningMs: nowMs - firstSeen.atMs, produced: size - firstSeen.size };
   }
 
   /** Runs the call. */
@@ -171,7 +176,7 @@
   ): Promise<attempts.AttemptOutcome> {
     const { clock } = this.context;
     const startMs = clock.nowMs();
-    this.attemptStartMs = startMs;
+    this.firstSeen = undefined;
     this.attemptStartSize = this.joiner.size;
     target.candidate.inFlight += 1;
     target.health.noteStart();
@@ -199,10 +204,14 @@
     outcome: attempts.AttemptOutcome,
     durationMs: number,
   ): void {
+    this.context.directory.observeAttempt(this.request.service, {
+      target: target.hello.name,
+      durationMs,
+      bytes: this.joiner.size - this.attemptStartSize,
+      isAnswered: outcome.kind === 'answered',
+    });
     if (outcome.kind === 'answered') {
       target.health.noteSuccess();
-      target.serviceTime.add(durationMs);
-      target.candidate.serviceTimeMs = target.serviceTime.value;
       return;
     }
     const { code } = outcome.failure;
--- a/packages/daemon/src/entry/configuration-task.ts
+++ b/packages/daemon/src/entry/configuration-task.ts
@@ -203,7 +203,10 @@
       const known = await store.findChange(change.id);
       const stored = known.isOk() ? await store.readAll() : neverthrow.err(known.error);
       if (known.isOk() && stored.isOk()) {
-        if (known.value) return neverthrow.ok(this.adoptStored(stored.value));
+        if (known.value) {
+          const snapshot = this.adoptStored(stored.value);
+          return neverthrow.ok({ revision: known.value.revision, snapshot });
+        }
         const rejection = this.findRejection(change, stored.value);
         if (rejection) return neverthrow.err(rejection);
         const written = await store.write(change, author, stored.value);
@@ -251,13 +254,10 @@
     return { revision, snapshot };
   }
 
-  private adoptStored(stored: stores.StoredConfiguration): {
-    revision: number;
-    snapshot: links.Snapshot;
-  } {
+  private adoptStored(stored: stores.StoredConfiguration): links.Snapshot {
     this.adopt(stored.revision, decisions.listFiles(stored.records));
     this.confirmation.confirm(0);
-    return { revision: stored.revision, snapshot: this.createSnapshot(-1) };
+    return this.createSnapshot(-1);
   }
 
   private adopt(
--- a/packages/daemon/src/entry/directory.ts
+++ b/packages/daemon/src/entry/directory.ts
@@ -5,7 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as forwarders from '../core/forwarder';
-import * as averages from '../utils/average';
+import * as serviceTimes from './service-times';
 
 /** A request in flight, as far as the directory needs it. */
 export interface InFlightCall {
@@ -19,7 +19,6 @@
   readonly candidate: decisions.Candidate;
   readonly health: decisions.HealthTracker;
   readonly forwarder: forwarders.Forwarder;
-  readonly serviceTime: averages.MovingAverage;
   readonly joinedMs: number;
   /** Requests in flight at the target. */
   readonly calls: Set<InFlightCall>;
@@ -45,7 +44,6 @@
 /** A target that has not been heard from for this long gets no new work. */
 const SILENCE_BOUND_MS = 1800;
 
-const SERVICE_TIME_WEIGHT = 0.1;
 const SLOW_START_MS = 10_000;
 const INITIAL_WARMTH = 0.3;
 const DEFAULT_CAPACITY = 8;
@@ -56,6 +54,8 @@
 
   private readonly capacities = new Map<string, number>();
 
+  private readonly times = new Map<string, serviceTimes.ServiceTimes>();
+
   private readonly routings = new Map<string, string>();
 
   private constructor(
@@ -97,6 +97,7 @@
       known.lastHeardMs = this.clock.nowMs();
       return;
     }
+    this.times.get(hello.service)?.forget(hello.name);
     targets.set(hello.name, this.createTarget(hello, targets.size > 0));
   }
 
@@ -174,6 +175,21 @@
     return available.find((target) => target.candidate === chosen);
   }
 
+  /** Learns from an attempt at a target of a service. */
+  observeAttempt(service: string, attempt: serviceTimes.ObservedAttempt): void {
+    const times = this.times.get(service) ?? serviceTimes.ServiceTimes.create();
+    this.times.set(service, times);
+    times.observe(attempt);
+    this.list(service).forEach(({ candidate }) => {
+      candidate.serviceTimeMs = times.getServiceTimeMs(candidate.name);
+    });
+  }
+
+  /** The speed at which targets of a service stream, in bytes a millisecond; 0 when unknown. */
+  getTypicalSpeed(service: string): number {
+    return this.times.get(service)?.getTypicalSpeed() ?? 0;
+  }
+
   /** Tells the calls at targets that fell silent, so that they can go elsewhere. */
   sweepSilent(): void {
     const oldestMs = this.clock.nowMs() - SILENCE_BOUND_MS;
@@ -207,12 +223,11 @@
         reportedLoad: 0,
         inFlightAtReport: 0,
         capacity: this.capacities.get(hello.service) ?? DEFAULT_CAPACITY,
-        serviceTimeMs: 1,
+        serviceTimeMs: this.times.get(hello.service)?.getServiceTimeMs(hello.name) ?? 1,
         warmth: 1,
       },
       health: decisions.HealthTracker.create(),
       forwarder: forwarders.Forwarder.create(this.createUrl(hello), this.readKeys?.()),
-      serviceTime: averages.MovingAverage.create(SERVICE_TIME_WEIGHT, 1),
       joinedMs: isJoiningLate ? nowMs : -Infinity,
       calls: new Set(),
       isLeaving: false,
--- a/packages/daemon/src/rollout/group-executor.ts
+++ b/packages/daemon/src/rollout/group-executor.ts
@@ -12,7 +12,6 @@
 import type * as configurationTask from '../entry/configuration-task';
 import type * as dispatchers from '../entry/dispatcher';
 import type * as knowledge from '../entry/knowledge';
-import * as averages from '../utils/average';
 import * as groupRuns from './group-run';
 import type * as sampleRuns from './sample-run';
 
@@ -35,18 +34,17 @@
 
 const RETENTION_MS = 60_000;
 const STRAGGLER_CHECK_INTERVAL_MS = 200;
-const RATE_WEIGHT = 0.05;
 const LARGEST_BUDGET = 100;
 
+/** A move repeats the prompt only, a fifth of an attempt at most. */
+const MOVE_COST = 0.2;
+
 /** Runs groups, each once. */
 export class GroupExecutor implements supervisors.Task {
   readonly name = 'group-executor';
 
   private readonly executions = new Map<string, Execution>();
 
-  /** Typical progress of a sample, in bytes a millisecond. */
-  private readonly typicalRate = averages.MovingAverage.create(RATE_WEIGHT, 0);
-
   /** Samples that may still be moved; filled by the samples that are begun. */
   private moveBudget = 0;
 
@@ -132,15 +130,27 @@
 
   private moveStragglers(): void {
     const runs = [...this.executions.values()].flatMap(({ run }) => run.samples);
-    const progress = runs.flatMap((run) => run.getProgress() ?? []);
-    progress
-      .filter((sample) => sample.produced > 0)
-      .forEach((sample) => this.typicalRate.add(sample.produced / sample.runningMs));
-    const chosen = decisions.chooseStragglers(progress, this.typicalRate.value, this.moveBudget);
-    chosen.forEach((id) => {
-      runs.find((run) => run.sample.id === id && run.getProgress())?.move();
-      this.moveBudget -= 1;
-      this.options.metrics.count('samples_moved');
+    const services = new Set(runs.map((run) => run.sample.trainer.engine));
+    services.forEach((service) => {
+      this.moveWithin(
+        service,
+        runs.filter((run) => run.sample.trainer.engine === service),
+      );
     });
   }
+
+  private moveWithin(service: string, runs: readonly sampleRuns.SampleRun[]): void {
+    const { dispatcher, metrics: sharedMetrics } = this.options;
+    const speed = dispatcher.context.directory.getTypicalSpeed(service);
+    const progress = runs.flatMap((run) => run.getProgress() ?? []);
+    const budget = this.moveBudget / MOVE_COST;
+    const chosen = new Set(decisions.chooseStragglers(progress, speed, budget));
+    runs
+      .filter((run) => chosen.has(run.sample.id))
+      .forEach((run) => {
+        run.move();
+        this.moveBudget -= MOVE_COST;
+        sharedMetrics.count('samples_moved', { service });
+      });
+  }
 }
--- a/packages/daemon/src/rollout/rollout-task.ts
+++ b/packages/daemon/src/rollout/rollout-task.ts
@@ -43,7 +43,7 @@
 
 const IDLE_MS = 120_000;
 const SWEEP_INTERVAL_MS = 5000;
-const WINDOW_FACTOR = 1.5;
+const WINDOW_FACTOR = 6;
 const SMALLEST_WINDOW = 2;
 const STALENESS_LABELS = 10;
 
--- a/packages/decisions/src/core/retry-budget.ts
+++ b/packages/decisions/src/core/retry-budget.ts
@@ -6,7 +6,7 @@
 /** A token bucket that first attempts fill and retries drain. */
 export class RetryBudget {
   private constructor(
-    private readonly share: number,
+    private share: number,
     private readonly reserve: number,
     private tokens: number,
   ) {}
@@ -19,6 +19,11 @@
     return new RetryBudget(share, reserve, reserve);
   }
 
+  /** Changes the share. */
+  setShare(share: number): void {
+    this.share = share;
+  }
+
   /** Notes a first attempt. */
   deposit(): void {
     this.tokens = Math.min(this.reserve, this.tokens + this.share);
--- a/packages/decisions/src/core/straggler.ts
+++ b/packages/decisions/src/core/straggler.ts
@@ -13,12 +13,12 @@
 }
 
 const SHORTEST_OBSERVATION_MS = 400;
-const SLOW_FACTOR = 3;
+const SLOW_FACTOR = 2;
 
 /**
  * The samples to move, slowest first.
  * @param running the samples that run now
- * @param typicalRate units a millisecond of samples that finished lately; 0 when unknown
+ * @param typicalRate units a millisecond of an ordinary replica; 0 when unknown
  * @param budget the number of samples that may be moved
  */
 export function chooseStragglers(
--- a/packages/standins/src/bin/experiment.ts
+++ b/packages/standins/src/bin/experiment.ts
@@ -93,9 +93,10 @@
   .command('rollout')
   .description('run steps with stragglers and new weights, against baselines')
   .option('--guild', 'the deployment of the guild instead of Dapur Bersih')
-  .action(async (options: { guild?: boolean }) => {
+  .option('--only <name>', 'run one contender')
+  .action(async (options: { guild?: boolean; only?: string }) => {
     const plan = options.guild ? deployments.GUILD : deployments.DAPUR_BERSIH;
-    print(await rollout.compareRollouts(plan, showProgress));
+    print(await rollout.compareRollouts(plan, options.only, showProgress));
   });
 
 program.parseAsync().catch((error: Error) => {
--- a/packages/standins/src/experiments/rollout.ts
+++ b/packages/standins/src/experiments/rollout.ts
@@ -66,10 +66,12 @@
 /** Runs every contender on one deployment. */
 export async function compareRollouts(
   plan: deployments.DeploymentPlan,
+  only: string | undefined,
   progress: demo.Progress,
 ): Promise<RolloutResult[]> {
   const results: RolloutResult[] = [];
-  for (const contender of CONTENDERS) {
+  const chosen = CONTENDERS.filter(({ name }) => only === undefined || name === only);
+  for (const contender of chosen) {
     progress(`${plan.name}: ${contender.name}`);
     const pipelined = await runTrainer(plan, contender, 1, TRAIN_MS);
     const alone = await runTrainer(plan, contender, 0, 0);
