--- a/jest.config.js
+++ b/jest.config.js
@@ -3,7 +3,8 @@
   roots: ['<rootDir>/packages'],
   testMatch: ['**/__tests__/**/*.test.ts'],
   testTimeout: 120000,
-  maxWorkers: 3,
+  // Tests with processes of their own need the processors to themselves.
+  maxWorkers: 1,
   moduleNameMapper: { '^@azureworks/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts' },
   transform: {
     '^.+\\.ts$': ['@swc/jest', { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' } }],
--- a/packages/daemon/__tests__/support/test-keys.ts
+++ b/packages/daemon/__tests__/support/test-keys.ts
@@ -1,18 +1,22 @@
 /**
  * Makes an authority and a certificate for tests.
  */
+import * as nodeCrypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import type * as links from '@azureworks/links';
 import * as x509 from '@peculiar/x509';
 
+// eslint-disable-next-line n/prefer-global/crypto -- the global one is experimental on Node.js 20
+const webcrypto = nodeCrypto.webcrypto as unknown as Crypto;
+
 const ALGORITHM = { name: 'ECDSA', namedCurve: 'P-256', hash: 'SHA-256' } as const;
 const VALID_FROM = new Date('2020-01-01');
 const VALID_TO = new Date('2120-01-01');
 
 /** Writes the files of one daemon, signed by an authority of its own. */
 export async function writeKeys(folder: string, name: string): Promise<links.TlsFiles> {
-  x509.cryptoProvider.set(crypto);
+  x509.cryptoProvider.set(webcrypto);
   const authorityKeys = await createKeys();
   const validity = { notBefore: VALID_FROM, notAfter: VALID_TO, signingAlgorithm: ALGORITHM };
   const authority = await x509.X509CertificateGenerator.createSelfSigned({
@@ -31,7 +35,7 @@
     publicKey: keys.publicKey,
     signingKey: authorityKeys.privateKey,
   });
-  const exported = await crypto.subtle.exportKey('pkcs8', keys.privateKey);
+  const exported = await webcrypto.subtle.exportKey('pkcs8', keys.privateKey);
   const key = x509.PemConverter.encode(exported, 'PRIVATE KEY');
   const write = (file: string, text: string): string => {
     const target = path.join(folder, `${name}-${file}.pem`);
@@ -46,5 +50,5 @@
 }
 
 function createKeys(): Promise<CryptoKeyPair> {
-  return crypto.subtle.generateKey(ALGORITHM, true, ['sign', 'verify']);
+  return webcrypto.subtle.generateKey(ALGORITHM, true, ['sign', 'verify']);
 }
--- a/packages/daemon/src/entry/caller-api.ts
+++ b/packages/daemon/src/entry/caller-api.ts
@@ -49,10 +49,10 @@
   private constructor(private readonly options: CallerApiOptions) {
     const { http: server } = options;
     server.add('post', '/v1/engines/:engine/completions', (request, response) =>
-      this.complete(request, response),
+      this.serve(request, response, (content) => this.checkCompletion(request, content)),
     );
     server.add('all', '/v1/services/:service/*', (request, response) =>
-      this.callService(request, response),
+      this.serve(request, response, (content) => this.checkServiceCall(request, content)),
     );
   }
 
@@ -60,25 +60,15 @@
     return new CallerApi(options);
   }
 
-  private async complete(
+  private async serve(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
+    check: (content: Buffer) => Checked<requests.Request>,
   ): Promise<void> {
     const bytes = await body.readBody(request, this.limits.maximum_body_bytes);
     const checked = this.checkReady()
       .andThen(() => bytes)
-      .andThen((content) => this.checkCompletion(request, content));
-    await this.answer(checked, response);
-  }
-
-  private async callService(
-    request: httpTask.RoutedRequest,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    const bytes = await body.readBody(request, this.limits.maximum_body_bytes);
-    const checked = this.checkReady()
-      .andThen(() => bytes)
-      .andThen((content) => this.checkServiceCall(request, content));
+      .andThen(check);
     await this.answer(checked, response);
   }
 
--- a/packages/daemon/src/entry/configuration-task.ts
+++ b/packages/daemon/src/entry/configuration-task.ts
@@ -13,8 +13,8 @@
 import type * as metrics from '../core/metrics';
 import type * as supervisors from '../core/supervisor';
 import * as topics from '../core/topic';
-import * as stores from './configuration-store';
-import * as pauses from '../utils/pause';
+import * as changeWriters from './change-writer';
+import type * as stores from './configuration-store';
 
 /** The configuration in force. */
 export interface ConfigurationInForce {
@@ -33,13 +33,6 @@
   readonly missing: readonly string[];
 }
 
-/** Why a change was not accepted. */
-export interface Rejection {
-  readonly failure: decisions.Failure;
-  readonly conflict?: decisions.ChangeConflict;
-  readonly errors?: readonly configuration.SettingError[];
-}
-
 /** What the configuration task needs from the membership task. */
 export interface Spreader {
   /** Sends a snapshot to every entry within reach; resolves to the names that hold it and not. */
@@ -66,8 +59,6 @@
 const SHORTEST_POLL_MS = 500;
 const READS_PER_SECOND = 200;
 const MILLISECONDS_PER_SECOND = 1000;
-const ACCEPT_DEADLINE_MS = 10_000;
-const ACCEPT_PAUSE_MS = 50;
 const REMEMBERED_CHANGES = 200;
 
 /** Keeps the configuration of one entry. */
@@ -87,6 +78,8 @@
 
   private readonly confirmation: decisions.Confirmation;
 
+  private readonly writer: changeWriters.ChangeWriter;
+
   private spreader: Spreader | undefined;
 
   private timer: NodeJS.Timeout | undefined;
@@ -95,6 +88,7 @@
 
   private constructor(private readonly options: ConfigurationTaskOptions) {
     this.confirmation = decisions.Confirmation.create(options.clock, CONFIRMATION_BOUND_MS);
+    this.writer = changeWriters.ChangeWriter.create(options.store, options.clock);
     options.metrics.gauge('revision', {}, () => this.inForce.revision);
     options.metrics.gauge('revision_confirmed', {}, () => (this.isConfirmed() ? 1 : 0));
   }
@@ -182,65 +176,30 @@
   async accept(
     change: decisions.Change,
     author: string,
-  ): Promise<neverthrow.Result<Acceptance, Rejection>> {
-    const written = await this.writeChange(change, author);
+  ): Promise<neverthrow.Result<Acceptance, changeWriters.Rejection>> {
+    const written = await this.writer.write(change, author);
     if (written.isErr()) return neverthrow.err(written.error);
-    const { revision, snapshot } = written.value;
+    const { revision } = written.value;
+    const snapshot = this.adoptWritten(change, written.value);
     const spread = (await this.spreader?.spread(snapshot)) ?? { held: [], missing: [] };
     const heldBy = [this.options.name, ...spread.held];
     this.options.log.change('change accepted', { change: change.id, revision });
     return neverthrow.ok({ changeId: change.id, revision, heldBy, missing: spread.missing });
   }
 
-  private async writeChange(
-    change: decisions.Change,
-    author: string,
-  ): Promise<neverthrow.Result<{ revision: number; snapshot: links.Snapshot }, Rejection>> {
-    const { clock, store } = this.options;
-    const deadlineMs = clock.nowMs() + ACCEPT_DEADLINE_MS;
-    let verdict: decisions.VerdictKind = decisions.VerdictKind.NotRun;
-    while (clock.nowMs() < deadlineMs) {
-      const known = await store.findChange(change.id);
-      const stored = known.isOk() ? await store.readAll() : neverthrow.err(known.error);
-      if (known.isOk() && stored.isOk()) {
-        if (known.value) {
-          const snapshot = this.adoptStored(stored.value);
-          return neverthrow.ok({ revision: known.value.revision, snapshot });
-        }
-        const rejection = this.findRejection(change, stored.value);
-        if (rejection) return neverthrow.err(rejection);
-        const written = await store.write(change, author, stored.value);
-        if (written.isOk()) {
-          return neverthrow.ok(this.adoptChange(change, stored.value, written.value));
-        }
-        verdict = decisions.combineVerdicts([verdict, written.error.verdict]);
-      }
-      await pauses.pause(ACCEPT_PAUSE_MS);
-    }
-    const detail = { verdict, detail: `change ${change.id}` };
-    return neverthrow.err({ failure: decisions.createFailure('store-unavailable', detail) });
-  }
-
-  private findRejection(
+  private adoptWritten(
     change: decisions.Change,
-    stored: stores.StoredConfiguration,
-  ): Rejection | undefined {
-    const conflict = decisions.findConflict(change, stored.records);
-    if (conflict) {
-      const detail = `${conflict.file} was changed by ${conflict.winner}`;
-      return { failure: decisions.createFailure('conflict', { detail }), conflict };
-    }
-    const files = decisions.applyChange(decisions.listFiles(stored.records), change);
-    const parsed = configuration.parseConfiguration(files);
-    if (parsed.isOk()) return undefined;
-    return { failure: decisions.createFailure('invalid-configuration'), errors: parsed.error };
+    written: changeWriters.WrittenChange,
+  ): links.Snapshot {
+    const { stored, revision, isNew } = written;
+    return isNew ? this.adoptChange(change, stored, revision) : this.adoptStored(stored);
   }
 
   private adoptChange(
     change: decisions.Change,
     stored: stores.StoredConfiguration,
     revision: number,
-  ): { revision: number; snapshot: links.Snapshot } {
+  ): links.Snapshot {
     const files = decisions.applyChange(decisions.listFiles(stored.records), change);
     const snapshot: links.Snapshot = {
       from: this.options.name,
@@ -251,7 +210,7 @@
     };
     this.adopt(revision, files, snapshot);
     this.confirmation.confirm(0);
-    return { revision, snapshot };
+    return snapshot;
   }
 
   private adoptStored(stored: stores.StoredConfiguration): links.Snapshot {
--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -13,8 +13,10 @@
 import type * as supervisors from '../core/supervisor';
 import * as topics from '../core/topic';
 import type * as configurationTask from './configuration-task';
+import * as remoteGroups from '../rollout/remote-groups';
 import type * as rolloutTask from '../rollout/rollout-task';
 import type * as knowledge from './knowledge';
+import * as peerClients from './peer-clients';
 
 /** Makes groups for other entries. */
 export interface GroupRunner {
@@ -40,7 +42,6 @@
 const EXCHANGE_TIMEOUT_MS = 400;
 const PROBE_TIMEOUT_MS = 600;
 const PUSH_TIMEOUT_MS = 1500;
-const RUN_EXTRA_TIMEOUT_MS = 1000;
 const PULL_TIMEOUT_MS = 2000;
 const VM_POLL_INTERVAL_MS = 1000;
 const PEERS_PER_ROUND = 3;
@@ -63,7 +64,7 @@
 
   private view: decisions.MemberView<links.Member> | undefined;
 
-  private readonly clients = new Map<string, links.PeerClient>();
+  private readonly clients: peerClients.PeerClients;
 
   private server: links.ControlServer | undefined;
 
@@ -76,6 +77,7 @@
   private groupRunner: GroupRunner | undefined;
 
   private constructor(private readonly options: MembershipTaskOptions) {
+    this.clients = peerClients.PeerClients.create(options.credentials);
     options.metrics.gauge('peers', {}, () => this.listPeers().length);
   }
 
@@ -114,8 +116,7 @@
 
   async stop(): Promise<void> {
     this.timers.forEach((timer) => clearInterval(timer));
-    this.clients.forEach((client) => client.close());
-    this.clients.clear();
+    this.clients.closeAll();
     this.server?.close();
   }
 
@@ -151,25 +152,14 @@
     throw new Error('the group was not made');
   }
 
-  async runAt(
+  runAt(
     entry: string,
     order: links.GroupOrder,
   ): Promise<neverthrow.Result<links.GroupResult, decisions.Failure>> {
     const peer = this.view?.get(entry);
-    if (!peer) return neverthrow.err(decisions.createFailure('no-target'));
-    const call = this.openClient(peer).run(order, order.remainingMs + RUN_EXTRA_TIMEOUT_MS);
-    let timer: NodeJS.Timeout | undefined;
-    const lost = new Promise<undefined>((resolve) => {
-      timer = setInterval(() => {
-        if (this.isLost(peer)) resolve(undefined);
-      }, EXCHANGE_INTERVAL_MS);
-    });
-    const result = await Promise.race([call, lost]);
-    clearInterval(timer);
-    if (!result) return neverthrow.err(decisions.createFailure('target-failed'));
-    return result.mapErr(({ message }) =>
-      decisions.createFailure('target-failed', { detail: message }),
-    );
+    const noTarget = decisions.createFailure('no-target');
+    if (!peer) return Promise.resolve(neverthrow.err(noTarget));
+    return remoteGroups.runAtPeer(this.clients.open(peer), order, () => this.isLost(peer));
   }
 
   /** Whether an entry is no longer thought to be alive under the same incarnation. */
@@ -221,11 +211,11 @@
   }
 
   private async pushTo(peer: links.Member, snapshot: links.Snapshot): Promise<boolean> {
-    const result = await this.openClient(peer).push(snapshot, PUSH_TIMEOUT_MS);
+    const result = await this.clients.open(peer).push(snapshot, PUSH_TIMEOUT_MS);
     if (result.isErr()) return false;
     if (result.value.revision >= snapshot.revision) return true;
     const whole = this.options.configuration.createSnapshot(-1);
-    const again = await this.openClient(peer).push(whole, PUSH_TIMEOUT_MS);
+    const again = await this.clients.open(peer).push(whole, PUSH_TIMEOUT_MS);
     return again.isOk() && again.value.revision >= snapshot.revision;
   }
 
@@ -235,7 +225,7 @@
   ): Promise<links.Snapshot | undefined> {
     const peer = this.view?.get(name);
     if (!peer) return undefined;
-    const result = await this.openClient(peer).pull(request, PULL_TIMEOUT_MS);
+    const result = await this.clients.open(peer).pull(request, PULL_TIMEOUT_MS);
     return result.isOk() ? result.value : undefined;
   }
 
@@ -255,7 +245,7 @@
     const probe = { from: this.options.self.name, about: peer.name };
     const answers = await Promise.all(
       this.pick(others, PROBING_PEERS).map((other) =>
-        this.openClient(other).probe(probe, PROBE_TIMEOUT_MS),
+        this.clients.open(other).probe(probe, PROBE_TIMEOUT_MS),
       ),
     );
     if (answers.some((answer) => answer.isOk() && answer.value.isReachable)) return;
@@ -263,7 +253,7 @@
   }
 
   private async exchangeWith(peer: links.Member): Promise<boolean> {
-    const client = this.openClient(peer);
+    const client = this.clients.open(peer);
     const askedMs = this.options.clock.nowMs();
     const result = await client.exchange(this.createExchange(), EXCHANGE_TIMEOUT_MS);
     this.options.metrics.count('exchanges', { ok: String(result.isOk()) });
@@ -303,15 +293,6 @@
     this.options.log.change('entry', { entry: name, state, incarnation });
   }
 
-  private openClient(peer: links.Member): links.PeerClient {
-    const address = `${peer.address}:${peer.controlPort}`;
-    const existing = this.clients.get(address);
-    if (existing) return existing;
-    const client = links.PeerClient.create(address, this.options.credentials);
-    this.clients.set(address, client);
-    return client;
-  }
-
   private pick(peers: readonly links.Member[], count: number): links.Member[] {
     const pool = [...peers];
     const picked: links.Member[] = [];
--- a/packages/daemon/src/entry/operator-api.ts
+++ b/packages/daemon/src/entry/operator-api.ts
@@ -8,6 +8,7 @@
 import * as zod from 'zod';
 import * as body from '../core/body';
 import * as httpTask from '../core/http-task';
+import type * as changeWriters from './change-writer';
 import type * as configurationTask from './configuration-task';
 import type * as stores from './configuration-store';
 import type * as directories from './directory';
@@ -139,10 +140,7 @@
   }
 }
 
-function sendRejection(
-  response: http.ServerResponse,
-  rejection: configurationTask.Rejection,
-): void {
+function sendRejection(response: http.ServerResponse, rejection: changeWriters.Rejection): void {
   const { failure, conflict, errors } = rejection;
   const { code, verdict, message } = failure;
   httpTask.sendJson(response, decisions.getStatus(failure), {
--- /dev/null
+++ b/packages/daemon/src/rollout/remote-groups.ts
@@ -0,0 +1,30 @@
+/**
+ * Has another entry make a group, and gives up when that entry is lost.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as links from '@azureworks/links';
+import * as neverthrow from 'neverthrow';
+
+const EXTRA_TIMEOUT_MS = 1000;
+const LOST_POLL_MS = 500;
+
+/** @param isLost whether the other entry is no longer thought to be alive */
+export async function runAtPeer(
+  client: links.PeerClient,
+  order: links.GroupOrder,
+  isLost: () => boolean,
+): Promise<neverthrow.Result<links.GroupResult, decisions.Failure>> {
+  let timer: NodeJS.Timeout | undefined;
+  const lost = new Promise<undefined>((resolve) => {
+    timer = setInterval(() => {
+      if (isLost()) resolve(undefined);
+    }, LOST_POLL_MS);
+  });
+  const call = client.run(order, order.remainingMs + EXTRA_TIMEOUT_MS);
+  const result = await Promise.race([call, lost]);
+  clearInterval(timer);
+  if (!result) return neverthrow.err(decisions.createFailure('target-failed'));
+  return result.mapErr(({ message }) =>
+    decisions.createFailure('target-failed', { detail: message }),
+  );
+}
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -60,10 +60,10 @@
   private constructor(private readonly options: WorkTaskOptions) {
     this.ledger = ledgers.Ledger.create(options.clock);
     this.forwarder = forwarders.Forwarder.create(options.targetUrl);
-    options.http.add('all', `${WORK_PREFIX}/*`, (request, response) =>
+    this.addForPeers('all', `${WORK_PREFIX}/*`, (request, response) =>
       this.serve(request, response),
     );
-    options.http.add('post', '/attempts/:attempt/settle', (request, response) =>
+    this.addForPeers('post', '/attempts/:attempt/settle', (request, response) =>
       this.settle(request, response),
     );
   }
@@ -106,14 +106,19 @@
     return `${this.queue.running};${this.queue.queued}`;
   }
 
+  /** Adds a route for entries only: nobody without a key of the deployment gives orders. */
+  private addForPeers(method: httpTask.Method, path: string, handler: httpTask.Handler): void {
+    this.options.http.add(method, path, (request, response) => {
+      if (httpTask.isPeer(request)) return handler(request, response);
+      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
+      return undefined;
+    });
+  }
+
   private async serve(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    if (!httpTask.isPeer(request)) {
-      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
-      return;
-    }
     const bytes = await body.readBody(request, LARGEST_BODY_BYTES);
     if (bytes.isErr()) {
       httpTask.sendFailure(response, bytes.error);
@@ -216,10 +221,6 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    if (!httpTask.isPeer(request)) {
-      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
-      return;
-    }
     const { attempt } = request.params;
     const url = new URL(request.url, 'http://target');
     if (Number(request.headers[headers.Header.Incarnation]) !== this.options.incarnation) {
--- a/packages/standins/__tests__/matrix/arena.ts
+++ b/packages/standins/__tests__/matrix/arena.ts
@@ -4,6 +4,7 @@
 import * as deployments from '../../src/experiments/deployments';
 import * as demo from '../../src/experiments/demo';
 import * as fleets from '../../src/experiments/fleet';
+import * as http from '../../src/experiments/http';
 import * as checker from './checker';
 import type * as faults from './faults';
 import * as workloads from './workload';
@@ -119,7 +120,7 @@
     const deadlineMs = performance.now() + PROGRESS_TIMEOUT_MS;
     while ((await workload.readTrainer()).stepsDone < stepsDone + 2) {
       if (performance.now() > deadlineMs) throw new Error('the trainer got no further');
-      await fleets.sleep(PROGRESS_POLL_MS);
+      await http.sleep(PROGRESS_POLL_MS);
     }
   }
 }
--- a/packages/standins/__tests__/matrix/checker.ts
+++ b/packages/standins/__tests__/matrix/checker.ts
@@ -2,7 +2,8 @@
  * Judges the nine promises of the brief by what callers, the trainer, operators and the targets'
  * own logs saw.
  */
-import * as fleets from '../../src/experiments/fleet';
+import type * as fleets from '../../src/experiments/fleet';
+import * as http from '../../src/experiments/http';
 import type * as workloads from './workload';
 
 /** A broken promise. */
@@ -179,7 +180,7 @@
 }
 
 async function readLog(target: fleets.FleetTarget): Promise<TargetLog> {
-  const log = await fleets.getJson<{ runs?: EngineRun[]; bookings?: Booking[] }>(
+  const log = await http.getJson<{ runs?: EngineRun[]; bookings?: Booking[] }>(
     `${target.standin.url}/log`,
   );
   return { target: target.name, runs: log.runs ?? [], bookings: log.bookings ?? [] };
--- a/packages/standins/__tests__/matrix/faults.ts
+++ b/packages/standins/__tests__/matrix/faults.ts
@@ -1,7 +1,8 @@
 /**
  * The faults of the fault matrix, each with how it is brought about and healed.
  */
-import * as fleets from '../../src/experiments/fleet';
+import type * as fleets from '../../src/experiments/fleet';
+import * as http from '../../src/experiments/http';
 
 /** A fault. */
 export interface Fault {
@@ -25,7 +26,7 @@
 }
 
 function setFaults(url: string, faults: object): Promise<unknown> {
-  return fleets.postJson(`${url}/faults`, faults);
+  return http.postJson(`${url}/faults`, faults);
 }
 
 function setAll(
@@ -40,7 +41,7 @@
 async function pulse(act: () => Promise<unknown>): Promise<void> {
   for (let turn = 0; turn < PULSES; turn += 1) {
     await act();
-    await fleets.sleep(WINDOW_MS / PULSES);
+    await http.sleep(WINDOW_MS / PULSES);
   }
 }
 
@@ -50,7 +51,7 @@
     name: 'store down',
     strike: async (fleet) => {
       await setFaults(fleet.platform.url, { down: true });
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: async (fleet) => {
       await setFaults(fleet.platform.url, { down: false });
@@ -60,7 +61,7 @@
     name: 'store slow',
     strike: async (fleet) => {
       await setFaults(fleet.platform.url, { slowMs: SLOW_MS });
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: async (fleet) => {
       await setFaults(fleet.platform.url, { slowMs: 0 });
@@ -81,7 +82,7 @@
     name: 'entry killed',
     strike: async (fleet) => {
       await fleet.entries[1].daemon.stop('SIGKILL');
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: (fleet) => fleet.restartEntry(fleet.entries[1]),
   },
@@ -90,7 +91,7 @@
     strike: async (fleet) => {
       const targets = [pick(fleet, 'engine')[0], pick(fleet, 'service')[0]];
       await Promise.all(targets.map((target) => target.daemon.stop('SIGKILL')));
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
       await Promise.all(targets.map((target) => fleet.restartTargetDaemon(target)));
     },
     heal: nothing,
@@ -99,7 +100,7 @@
     name: 'entry frozen past its lease, then resumed',
     strike: async (fleet) => {
       fleet.entries[0].daemon.signal('SIGSTOP');
-      await fleets.sleep(FREEZE_MS);
+      await http.sleep(FREEZE_MS);
       fleet.entries[0].daemon.signal('SIGCONT');
     },
     heal: nothing,
@@ -109,7 +110,7 @@
     strike: async (fleet) => {
       const targets = [pick(fleet, 'engine')[1], pick(fleet, 'service')[0]];
       targets.forEach((target) => target.daemon.signal('SIGSTOP'));
-      await fleets.sleep(FREEZE_MS);
+      await http.sleep(FREEZE_MS);
       targets.forEach((target) => target.daemon.signal('SIGCONT'));
     },
     heal: nothing,
@@ -121,7 +122,7 @@
       await Promise.all(
         targets.map((target) => setFaults(target.standin.url, { refuseMs: WINDOW_MS })),
       );
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: nothing,
   },
@@ -156,7 +157,7 @@
     strike: async (fleet) => {
       await setAll(fleet, 'engine', { slowMs: SLOW_MS });
       await setAll(fleet, 'service', { slowMs: SLOW_MS });
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: async (fleet) => {
       await setAll(fleet, 'engine', { slowMs: 0 });
@@ -168,7 +169,7 @@
     strike: (fleet) =>
       pulse(async () => {
         fleet.entries[1].daemon.signal('SIGSTOP');
-        await fleets.sleep(WINDOW_MS / PULSES);
+        await http.sleep(WINDOW_MS / PULSES);
         fleet.entries[1].daemon.signal('SIGCONT');
       }),
     heal: nothing,
@@ -176,12 +177,12 @@
   {
     name: 'VM list stale',
     strike: async (fleet) => {
-      const { vms } = await fleets.getJson<{ vms: Record<string, unknown>[] }>(
+      const { vms } = await http.getJson<{ vms: Record<string, unknown>[] }>(
         `${fleet.platform.url}/vms`,
       );
       const ghost = { ...vms[vms.length - 1], name: 'ghost', controlPort: GHOST_PORT };
-      await fleets.postJson(`${fleet.platform.url}/vms`, { vms: [...vms.slice(0, -1), ghost] });
-      await fleets.sleep(WINDOW_MS);
+      await http.postJson(`${fleet.platform.url}/vms`, { vms: [...vms.slice(0, -1), ghost] });
+      await http.sleep(WINDOW_MS);
     },
     heal: (fleet) => fleet.publishVms(),
   },
@@ -190,7 +191,7 @@
     strike: async (fleet) => {
       const [engine] = pick(fleet, 'engine');
       await setFaults(engine.standin.url, { crashMs: WINDOW_MS });
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: nothing,
   },
@@ -198,7 +199,7 @@
     name: 'weight swap failed partway',
     strike: async (fleet) => {
       await setAll(fleet, 'engine', { failSwaps: 2 });
-      await fleets.sleep(WINDOW_MS);
+      await http.sleep(WINDOW_MS);
     },
     heal: async (fleet) => {
       await setAll(fleet, 'engine', { failSwaps: 0 });
--- a/packages/standins/__tests__/matrix/workload.ts
+++ b/packages/standins/__tests__/matrix/workload.ts
@@ -6,7 +6,8 @@
 import * as callers from '../../src/core/caller';
 import type * as trainers from '../../src/core/trainer';
 import type * as deployments from '../../src/experiments/deployments';
-import * as fleets from '../../src/experiments/fleet';
+import type * as fleets from '../../src/experiments/fleet';
+import * as http from '../../src/experiments/http';
 import type * as children from '../../src/experiments/process';
 
 /** Counts of what was attempted. */
@@ -136,7 +137,7 @@
   }
 
   async readTrainer(): Promise<trainers.TrainerReport> {
-    return fleets.getJson<trainers.TrainerReport>(`${this.fleet.trainers[0].url}/log`);
+    return http.getJson<trainers.TrainerReport>(`${this.fleet.trainers[0].url}/log`);
   }
 
   /** What was attempted so far. */
@@ -155,7 +156,7 @@
   private async loop(intervalMs: number, act: () => Promise<void> | void): Promise<void> {
     while (!this.isStopped) {
       await act();
-      await fleets.sleep(intervalMs);
+      await http.sleep(intervalMs);
     }
   }
 
@@ -174,7 +175,7 @@
   private async book(id: string): Promise<void> {
     this.counts.bookings += 1;
     const first = this.caller.book(id);
-    await fleets.sleep(this.turn % 2 === 0 ? 5 : 200);
+    await http.sleep(this.turn % 2 === 0 ? 5 : 200);
     await Promise.all([first, this.caller.book(id)]);
   }
 
@@ -253,7 +254,7 @@
 }
 
 async function readRunCount(engine: fleets.FleetTarget): Promise<number> {
-  const log = await fleets.getJson<{ runs: unknown[] }>(`${engine.standin.url}/log`);
+  const log = await http.getJson<{ runs: unknown[] }>(`${engine.standin.url}/log`);
   return log.runs.length;
 }
 
--- a/packages/standins/src/core/engine.ts
+++ b/packages/standins/src/core/engine.ts
@@ -3,11 +3,11 @@
  * continuous batching with priorities, resume by `Last-Event-ID`, cancel by disconnect, a prefix
  * cache, load reports with a lag and weight swaps that may fail partway.
  */
-import type * as http from 'node:http';
 import * as undici from 'undici';
 import * as zod from 'zod';
 import * as generation from '../utils/generation';
 import * as prefixCaches from '../utils/prefix-cache';
+import * as engineRuns from './engine-run';
 import * as server from './standin-server';
 import * as statusAnswers from './status-answer';
 
@@ -32,41 +32,12 @@
   readonly isFencingChecked: boolean;
 }
 
-const completionSchema = zod.object({
-  model: zod.string().optional(),
-  prompt: zod.string(),
-  prefix: zod.string().optional(),
-  seed: zod.number().int().default(0),
-  max_tokens: zod.number().int().min(1).max(100_000).default(64),
-  mean_tokens: zod.number().int().min(1).optional(),
-  priority: zod.number().int().default(1),
-  stream: zod.boolean().default(true),
-  resume_text: zod.string().optional(),
-});
-
 const orderSchema = zod.object({
   model: zod.string(),
   version: zod.number().int(),
   fence: zod.number().int(),
 });
 
-type Completion = zod.infer<typeof completionSchema>;
-
-interface Run {
-  readonly requestId: string;
-  readonly attempt: string;
-  readonly completion: Completion;
-  readonly length: number;
-  readonly response: http.ServerResponse;
-  readonly startToken: number;
-  position: number;
-  readonly versions: Set<number | null>;
-  /** Wall-clock time of arrival, in milliseconds. */
-  readonly arrivedMs: number;
-  outcome: 'queued' | 'running' | 'finished' | 'cancelled' | 'crashed';
-  text: string;
-}
-
 interface EngineFaults extends server.Faults {
   /** Multiplies the time for a token. */
   slowFactor: number;
@@ -90,9 +61,9 @@
 
   private readonly faults: EngineFaults;
 
-  private readonly waiting: Run[] = [];
+  private readonly waiting: engineRuns.Run[] = [];
 
-  private readonly history: Run[] = [];
+  private readonly history: engineRuns.Run[] = [];
 
   private readonly orders: { model: string; version: number; fence: number; outcome: string }[] =
     [];
@@ -177,10 +148,10 @@
   }
 
   private complete(call: server.Call): unknown {
-    const parsed = completionSchema.safeParse(call.body);
+    const parsed = engineRuns.completionSchema.safeParse(call.body);
     if (!parsed.success)
       return statusAnswers.StatusAnswer.create(BAD_REQUEST, { error: 'bad request' });
-    const run = createRun(call, parsed.data);
+    const run = engineRuns.createRun(call, parsed.data);
     this.history.push(run);
     this.waiting.push(run);
     this.waiting.sort((first, second) => first.completion.priority - second.completion.priority);
@@ -193,12 +164,12 @@
 
   private startWaiting(): void {
     while (this.running < this.options.capacity && this.waiting.length > 0) {
-      const run = this.waiting.shift() as Run;
+      const run = this.waiting.shift() as engineRuns.Run;
       if (run.outcome === 'queued') this.start(run);
     }
   }
 
-  private start(run: Run): void {
+  private start(run: engineRuns.Run): void {
     run.outcome = 'running';
     this.running += 1;
     this.generate(run)
@@ -212,7 +183,7 @@
       });
   }
 
-  private async generate(run: Run): Promise<void> {
+  private async generate(run: engineRuns.Run): Promise<void> {
     const { completion, response } = run;
     if (completion.stream) response.writeHead(200, { 'content-type': 'text/event-stream' });
     const isCached = this.cache.touch(completion.prefix ?? completion.prompt);
@@ -222,10 +193,10 @@
     }
     if (run.outcome !== 'running') return;
     run.outcome = 'finished';
-    finish(run);
+    engineRuns.finish(run);
   }
 
-  private async generateChunk(run: Run): Promise<void> {
+  private async generateChunk(run: engineRuns.Run): Promise<void> {
     const tokens = Math.min(this.options.chunkTokens, run.length - run.position);
     await pause(this.options.tokenMs * tokens * this.faults.slowFactor);
     while (this.isSwapping) await pause(PAUSE_WHILE_SWAPPING_MS);
@@ -288,40 +259,7 @@
   }
 }
 
-function finish(run: Run): void {
-  const summary = {
-    finish_reason: 'stop',
-    weight_versions: [...run.versions],
-    completion_tokens: run.position - run.startToken,
-    total_tokens: run.position,
-  };
-  if (run.completion.stream) {
-    run.response.end(`event: summary\ndata: ${JSON.stringify(summary)}\n\ndata: [DONE]\n\n`);
-    return;
-  }
-  server.sendJson(run.response, 200, { text: run.text, ...summary });
-}
-
 function pause(durationMs: number): Promise<void> {
   if (durationMs <= 0) return Promise.resolve();
   return server.sleep(durationMs);
 }
-
-function createRun(call: server.Call, completion: Completion): Run {
-  const { headers } = call.request;
-  const { prompt, seed, max_tokens: maximum, mean_tokens: mean } = completion;
-  const startToken = Number(headers['last-event-id'] ?? 0);
-  return {
-    requestId: String(headers['idempotency-key'] ?? ''),
-    attempt: String(headers['x-azureworks-attempt'] ?? ''),
-    completion,
-    length: mean ? generation.drawLength(prompt, seed, mean, maximum) : maximum,
-    response: call.response,
-    startToken,
-    position: startToken,
-    versions: new Set(),
-    arrivedMs: Date.now(),
-    outcome: 'queued',
-    text: completion.stream ? '' : generation.makeText(prompt, seed, 0, startToken),
-  };
-}
--- a/packages/standins/src/experiments/control.ts
+++ b/packages/standins/src/experiments/control.ts
@@ -7,6 +7,7 @@
 import type * as deployments from './deployments';
 import * as demo from './demo';
 import * as fleets from './fleet';
+import * as http from './http';
 
 /** A fleet to measure. */
 interface Size {
@@ -124,7 +125,7 @@
 }
 
 async function measureFleet(fleet: fleets.Fleet, size: Size): Promise<ControlCost> {
-  await fleets.sleep(SETTLE_MS);
+  await http.sleep(SETTLE_MS);
   const before = await readFleet(fleet);
   const startMs = performance.now();
   await makeChanges(fleet, size.changesPerSecond);
@@ -148,22 +149,22 @@
 
 async function makeChanges(fleet: fleets.Fleet, changesPerSecond: number): Promise<void> {
   if (changesPerSecond === 0) {
-    await fleets.sleep(MEASURE_MS);
+    await http.sleep(MEASURE_MS);
     return;
   }
   const total = (MEASURE_MS / MILLISECONDS_PER_SECOND) * changesPerSecond;
   for (let turn = 0; turn < total; turn += 1) {
     await change(fleet, turn);
-    await fleets.sleep(MILLISECONDS_PER_SECOND / changesPerSecond);
+    await http.sleep(MILLISECONDS_PER_SECOND / changesPerSecond);
   }
 }
 
 async function change(fleet: fleets.Fleet, turn: number): Promise<number> {
   const [url] = fleet.entryUrls;
-  const { revision: baseRevision } = await fleets.getJson<{ revision: number }>(
+  const { revision: baseRevision } = await http.getJson<{ revision: number }>(
     `${url}/v1/configuration`,
   );
-  const answer = (await fleets.postJson(`${url}/v1/configuration/changes`, {
+  const answer = (await http.postJson(`${url}/v1/configuration/changes`, {
     id: `control-${process.pid}-${turn}-${baseRevision}`,
     baseRevision,
     put: { '90-control.ini': `[tenant control]\nshare = ${(turn % 9) + 1}\n` },
@@ -178,11 +179,11 @@
   for (let turn = 0; turn < SPREAD_CHANGES; turn += 1) {
     const revision = await change(fleet, turn);
     const acceptedMs = performance.now();
-    if (isStoreLost) await fleets.postJson(`${fleet.platform.url}/faults`, { down: true });
+    if (isStoreLost) await http.postJson(`${fleet.platform.url}/faults`, { down: true });
     await Promise.all(daemons.map((url) => waitForRevision(url, revision)));
     durations.push(performance.now() - acceptedMs);
-    if (isStoreLost) await fleets.postJson(`${fleet.platform.url}/faults`, { down: false });
-    await fleets.sleep(MILLISECONDS_PER_SECOND);
+    if (isStoreLost) await http.postJson(`${fleet.platform.url}/faults`, { down: false });
+    await http.sleep(MILLISECONDS_PER_SECOND);
   }
   durations.sort((first, second) => first - second);
   return {
@@ -199,7 +200,7 @@
   while (performance.now() < deadlineMs) {
     const read = await readMetrics(url);
     if (read('revision') >= revision) return;
-    await fleets.sleep(SPREAD_POLL_MS);
+    await http.sleep(SPREAD_POLL_MS);
   }
   throw new Error(`${url} did not reach revision ${revision}`);
 }
@@ -223,7 +224,7 @@
 async function readFleet(
   fleet: fleets.Fleet,
 ): Promise<{ entries: Counters[]; targets: Counters[]; reads: number }> {
-  const { reads } = await fleets.getJson<{ reads: number }>(`${fleet.platform.url}/log`);
+  const { reads } = await http.getJson<{ reads: number }>(`${fleet.platform.url}/log`);
   const entries = await Promise.all(fleet.entryUrls.map(readCounters));
   const targets = await Promise.all(fleet.targets.map((target) => readCounters(target.daemon.url)));
   return { entries, targets, reads };
@@ -235,9 +236,10 @@
   seconds: number,
 ): { corePercent: number; sentBytes: number; messages: number; megabytes: number } {
   const average = (read: (counters: Counters) => number): number => {
-    const sum = after.reduce((total, counters, index) => {
-      return total + read(counters) - read(before[index]);
-    }, 0);
+    const sum = after.reduce(
+      (total, counters, index) => total + read(counters) - read(before[index]),
+      0,
+    );
     return sum / after.length / seconds;
   };
   const microsecondsPerSecond = MILLISECONDS_PER_SECOND * MICROSECONDS_PER_MILLISECOND;
--- a/packages/standins/src/experiments/demo.ts
+++ b/packages/standins/src/experiments/demo.ts
@@ -7,6 +7,7 @@
 import * as callers from '../core/caller';
 import type * as deployments from './deployments';
 import * as fleets from './fleet';
+import * as http from './http';
 
 /** What the stand-ins saw. */
 export interface DemoReport {
@@ -115,7 +116,7 @@
   let shownMs = performance.now();
   for (let turn = 0; !reports.every((report) => report.isDone); turn += 1) {
     pending.push(makeCall(caller, turn));
-    await fleets.sleep(CALL_INTERVAL_MS);
+    await http.sleep(CALL_INTERVAL_MS);
     if (performance.now() - shownMs >= PROGRESS_INTERVAL_MS) {
       shownMs = performance.now();
       reports = await readReports(fleet);
@@ -134,7 +135,7 @@
 
 function readReports(fleet: fleets.Fleet): Promise<trainers.TrainerReport[]> {
   return Promise.all(
-    fleet.trainers.map((trainer) => fleets.getJson<trainers.TrainerReport>(`${trainer.url}/log`)),
+    fleet.trainers.map((trainer) => http.getJson<trainers.TrainerReport>(`${trainer.url}/log`)),
   );
 }
 
@@ -143,7 +144,7 @@
   const services = fleet.targets.filter((target) => target.kind === 'service');
   const logs = await Promise.all(
     services.map((target) =>
-      fleets.getJson<{ bookings: { requestId: string }[] }>(`${target.standin.url}/log`),
+      http.getJson<{ bookings: { requestId: string }[] }>(`${target.standin.url}/log`),
     ),
   );
   return logs.flatMap((log) => log.bookings.map((booking) => booking.requestId));
--- a/packages/standins/src/experiments/fleet.ts
+++ b/packages/standins/src/experiments/fleet.ts
@@ -5,7 +5,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as undici from 'undici';
+import * as http from './http';
 import * as ports from './ports';
 import * as children from './process';
 
@@ -51,8 +51,6 @@
 const ADDRESS = '127.0.0.1';
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 100;
-const OK = 200;
-const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
 
 const PACKAGES = path.resolve(__dirname, '..', '..', '..');
 const STANDIN_SCRIPT = path.join(PACKAGES, 'standins', 'dist', 'bin', 'standin.js');
@@ -201,7 +199,7 @@
       ...this.entries.map((entry) => create(entry, 'entry')),
       ...this.targets.map((target) => create(target, 'target', target.service)),
     ];
-    await postJson(`${this.platform.url}/vms`, { vms });
+    await http.postJson(`${this.platform.url}/vms`, { vms });
   }
 
   /** Waits until every entry is ready and links to every target at the newest revision. */
@@ -209,7 +207,7 @@
     const deadlineMs = performance.now() + READY_TIMEOUT_MS;
     while (!(await this.isReady(revision))) {
       if (performance.now() > deadlineMs) throw new Error('the fleet did not get ready');
-      await sleep(READY_POLL_MS);
+      await http.sleep(READY_POLL_MS);
     }
   }
 
@@ -248,7 +246,7 @@
   private async isReady(revision: number): Promise<boolean> {
     const names = this.targets.map((target) => target.name);
     const checks = this.entries.map(async (entry) => {
-      const status = await getJson<{
+      const status = await http.getJson<{
         revision: number;
         confirmedAgoMs: number | null;
         targets: { name: string; revision: number }[];
@@ -313,40 +311,3 @@
 async function takeDaemonPorts(): Promise<children.ReportedPorts> {
   return { httpPort: await ports.takePort(), controlPort: await ports.takePort() };
 }
-
-/** Reads JSON over HTTP; waits for a process that refuses connections for a while. */
-export async function getJson<T>(url: string): Promise<T> {
-  const deadlineMs = performance.now() + READY_TIMEOUT_MS;
-  for (;;) {
-    try {
-      return await tryGetJson<T>(url);
-    } catch (error) {
-      const isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
-      if (!isRefused || performance.now() > deadlineMs) throw error;
-      await sleep(READY_POLL_MS);
-    }
-  }
-}
-
-async function tryGetJson<T>(url: string): Promise<T> {
-  const response = await undici.request(url);
-  if (response.statusCode !== OK) throw new Error(`${url} answered ${response.statusCode}`);
-  return (await response.body.json()) as T;
-}
-
-/** Posts JSON over HTTP. */
-export async function postJson(url: string, body: unknown): Promise<unknown> {
-  const response = await undici.request(url, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify(body),
-  });
-  return response.body.json();
-}
-
-/** Waits for a number of milliseconds. */
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
--- /dev/null
+++ b/packages/standins/src/experiments/http.ts
@@ -0,0 +1,46 @@
+/**
+ * JSON over HTTP and pauses, for experiments.
+ */
+import * as undici from 'undici';
+
+const OK = 200;
+const RETRY_TIMEOUT_MS = 30_000;
+const RETRY_PAUSE_MS = 100;
+const REFUSED_CODES = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
+
+/** Reads JSON over HTTP; waits for a process that refuses connections for a while. */
+export async function getJson<T>(url: string): Promise<T> {
+  const deadlineMs = performance.now() + RETRY_TIMEOUT_MS;
+  for (;;) {
+    try {
+      return await tryGetJson<T>(url);
+    } catch (error) {
+      const isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
+      if (!isRefused || performance.now() > deadlineMs) throw error;
+      await sleep(RETRY_PAUSE_MS);
+    }
+  }
+}
+
+async function tryGetJson<T>(url: string): Promise<T> {
+  const response = await undici.request(url);
+  if (response.statusCode !== OK) throw new Error(`${url} answered ${response.statusCode}`);
+  return (await response.body.json()) as T;
+}
+
+/** Posts JSON over HTTP. */
+export async function postJson(url: string, body: unknown): Promise<unknown> {
+  const response = await undici.request(url, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  return response.body.json();
+}
+
+/** Waits for a number of milliseconds. */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
--- a/packages/standins/src/experiments/rollout.ts
+++ b/packages/standins/src/experiments/rollout.ts
@@ -7,6 +7,7 @@
 import type * as deployments from './deployments';
 import * as demo from './demo';
 import * as fleets from './fleet';
+import * as http from './http';
 
 /** One way to run a step. */
 export interface RolloutContender {
@@ -99,7 +100,7 @@
     const { revision } = demo.applyFolder(fleet, fleet.writeFolder('rollout', files));
     await fleet.waitUntilReady(revision);
     const [slow] = fleet.targets.filter((target) => target.kind === 'engine');
-    await fleets.postJson(`${slow.standin.url}/faults`, { slowFactor: SLOW_FACTOR });
+    await http.postJson(`${slow.standin.url}/faults`, { slowFactor: SLOW_FACTOR });
     const before = await readWrites(fleet);
     await fleet.addTrainer(plan.trainers[0], [
       ...['--steps', String(STEPS), '--groups', String(GROUPS), '--members', String(MEMBERS)],
@@ -121,22 +122,22 @@
 async function waitUntilDone(fleet: fleets.Fleet): Promise<trainers.TrainerReport> {
   const [trainer] = fleet.trainers;
   for (;;) {
-    const report = await fleets.getJson<trainers.TrainerReport>(`${trainer.url}/log`);
+    const report = await http.getJson<trainers.TrainerReport>(`${trainer.url}/log`);
     if (report.isDone) return report;
-    await fleets.sleep(POLL_MS);
+    await http.sleep(POLL_MS);
   }
 }
 
 async function countTokens(fleet: fleets.Fleet): Promise<number> {
   const engines = fleet.targets.filter((target) => target.kind === 'engine');
   const logs = await Promise.all(
-    engines.map((engine) => fleets.getJson<{ tokensMade: number }>(`${engine.standin.url}/log`)),
+    engines.map((engine) => http.getJson<{ tokensMade: number }>(`${engine.standin.url}/log`)),
   );
   return logs.reduce((sum, log) => sum + log.tokensMade, 0);
 }
 
 async function readWrites(fleet: fleets.Fleet): Promise<number> {
-  const log = await fleets.getJson<{ writes: number }>(`${fleet.platform.url}/log`);
+  const log = await http.getJson<{ writes: number }>(`${fleet.platform.url}/log`);
   return log.writes;
 }
 
--- a/packages/standins/src/experiments/speed.ts
+++ b/packages/standins/src/experiments/speed.ts
@@ -7,6 +7,7 @@
 import type * as deployments from './deployments';
 import * as demo from './demo';
 import * as fleets from './fleet';
+import * as http from './http';
 
 /** Latencies in milliseconds. */
 export interface Latency {
@@ -128,7 +129,7 @@
     for (let index = 0; index < total; index += 1) {
       const dueMs = startMs + (index * MILLISECONDS_PER_SECOND) / RATE;
       const waitMs = dueMs - performance.now();
-      if (waitMs > 0) await fleets.sleep(waitMs);
+      if (waitMs > 0) await http.sleep(waitMs);
       pending.push(this.sendDirect(), this.sendRouted());
     }
     await Promise.all(pending);
--- a/packages/standins/src/experiments/transport.ts
+++ b/packages/standins/src/experiments/transport.ts
@@ -100,12 +100,15 @@
 
 async function startGrpc(): Promise<{ send: SendAnswer; close: () => Promise<void> }> {
   const server = new grpc.Server();
-  server.addService({ stream: METHOD } as grpc.ServiceDefinition, {
-    stream: (call: grpc.ServerWritableStream<Buffer, Buffer>) => {
-      for (let event = 0; event < EVENTS; event += 1) call.write(EVENT);
-      call.end();
+  server.addService(
+    { stream: METHOD },
+    {
+      stream: (call: grpc.ServerWritableStream<Buffer, Buffer>) => {
+        for (let event = 0; event < EVENTS; event += 1) call.write(EVENT);
+        call.end();
+      },
     },
-  });
+  );
   const port = await new Promise<number>((resolve, reject) => {
     const credentials = grpc.ServerCredentials.createInsecure();
     server.bindAsync(`${ADDRESS}:0`, credentials, (error, bound) => {
