--- a/packages/daemon/__tests__/ledger.test.ts
+++ b/packages/daemon/__tests__/ledger.test.ts
@@ -6,7 +6,7 @@
   it('never hands an attempt over that it said was barred, nor one twice', () => {
     const action = fastCheck.record({
       id: fastCheck.constantFrom('a', 'b', 'c'),
-      what: fastCheck.constantFrom('open', 'handOver', 'bar'),
+      what: fastCheck.constantFrom('open', 'dispatch', 'bar'),
     });
     fastCheck.assert(
       fastCheck.property(fastCheck.array(action), (actions) => {
@@ -16,7 +16,7 @@
         actions.forEach(({ id, what }) => {
           if (what === 'open') ledger.open(id);
           if (what === 'bar' && ledger.bar(id) === ledgers.AttemptState.Barred) barred.add(id);
-          if (what === 'handOver' && ledger.handOver(id)) {
+          if (what === 'dispatch' && ledger.dispatch(id)) {
             expect(handedOver.has(id) || barred.has(id)).toBe(false);
             handedOver.add(id);
           }
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -40,14 +40,12 @@
     return new Admission(directory, clock, sharedMetrics);
   }
 
-  /** Starts to admit waiting requests as room appears. */
   start(): void {
-    this.timer = setInterval(() => this.pumpAll(), PUMP_INTERVAL_MS);
     this.sweepTimer = setInterval(() => this.directory.sweepSilent(), SWEEP_INTERVAL_MS);
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     clearInterval(this.sweepTimer);
   }
 
@@ -79,7 +77,9 @@
       const { retryAfterMs } = decision;
       ticket.refuse(decisions.createFailure('overloaded', { retryAfterMs }));
     }
-    if (decision.kind === 'wait') decision.evicted?.refuse(decisions.createFailure('overloaded'));
+    if (decision.kind !== 'wait') return;
+    decision.evicted?.refuse(decisions.createFailure('overloaded'));
+    this.schedulePump();
   }
 
   /** Without any target the call itself waits for one, and says so when none comes. */
@@ -97,6 +97,16 @@
     return queue;
   }
 
+  /** Admits waiting requests as room appears; nothing runs while nobody waits. */
+  private schedulePump(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.pumpAll();
+      const isWaiting = [...this.queues.values()].some((queue) => queue.size > 0);
+      if (isWaiting) this.schedulePump();
+    }, PUMP_INTERVAL_MS);
+  }
+
   private pumpAll(): void {
     const nowMs = this.clock.nowMs();
     this.queues.forEach((queue, service) => {
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -26,7 +26,7 @@
   readonly entryId: string;
 }
 
-/** Asked before every attempt; records where the request is about to be handed over. */
+/** Asked before every attempt; records where the request is about to be dispatched. */
 export type Permit = (
   place: settlements.AttemptPlace,
 ) => Promise<neverthrow.Result<void, decisions.Failure>>;
--- a/packages/daemon/src/entry/claims.ts
+++ b/packages/daemon/src/entry/claims.ts
@@ -2,7 +2,7 @@
  * Claims make a non-idempotent request that its caller named by an id run at most once, through
  * whatever entries it is sent and however often.
  *
- * A claim is a row that names the one attempt that may be handed over and the target daemon that
+ * A claim is a row that names the one attempt that may be dispatched and the target daemon that
  * may hand it over. Whoever wants to make another attempt must first have the former one barred by
  * that daemon, then replace the row on the condition that it did not change. Without the table
  * service a claim cannot be made, and the request is refused as not run.
--- a/packages/daemon/src/entry/links-task.ts
+++ b/packages/daemon/src/entry/links-task.ts
@@ -233,7 +233,7 @@
     link.client?.send({
       kind: links.LinkMessageKind.Revision,
       revision: configuration.current.revision,
-      confirmedAgoMs,
+      confirmedAgoMs: confirmedAgoMs === null ? null : Math.ceil(confirmedAgoMs),
       echoMs: link.heardMs,
       ...(text !== link.sentSlice && { slice }),
     });
--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -271,7 +271,7 @@
       from: view.self,
       members: view.takeNews(LARGEST_NEWS),
       revision: configuration.current.revision,
-      confirmedAgoMs: configuration.getConfirmedAgeMs(),
+      confirmedAgoMs: roundUp(configuration.getConfirmedAgeMs()),
       positions: knowledge.listPositions(),
       orders: knowledge.listOrders(),
     };
@@ -330,3 +330,7 @@
     });
   }
 }
+
+function roundUp(durationMs: number | null): number | null {
+  return durationMs === null ? null : Math.ceil(durationMs);
+}
--- a/packages/daemon/src/entry/settlement.ts
+++ b/packages/daemon/src/entry/settlement.ts
@@ -1,6 +1,6 @@
 /**
  * Asks a target daemon what became of an attempt whose answer was lost. The daemon bars the attempt
- * when it was not handed over yet, which turns "may have run" into a proven "not run".
+ * when it was not dispatched yet, which turns "may have run" into a proven "not run".
  */
 import type * as links from '@azureworks/links';
 import * as undici from 'undici';
@@ -18,7 +18,7 @@
 
 /** What became of an attempt. */
 export type Settlement =
-  /** It was not handed over and never will be. */
+  /** It was not dispatched and never will be. */
   | { readonly kind: 'not-run' }
   | { readonly kind: 'ran'; readonly answer: requests.Answer }
   /** It may have run; `isOver` tells whether it can still finish. */
--- a/packages/daemon/src/rollout/rollout-task.ts
+++ b/packages/daemon/src/rollout/rollout-task.ts
@@ -99,7 +99,7 @@
     const coordinator = await this.find(trainer, step);
     if (!coordinator) return neverthrow.err(decisions.createFailure('unknown-step'));
     const answer = await coordinator.take(request);
-    this.options.metrics.count('groups_handed_over', { trainer }, answer.groups.length);
+    this.options.metrics.count('groups_delivered', { trainer }, answer.groups.length);
     return neverthrow.ok(answer);
   }
 
--- a/packages/daemon/src/target/ledger.ts
+++ b/packages/daemon/src/target/ledger.ts
@@ -1,12 +1,12 @@
 /**
  * The ledger of attempts at a target. It is what makes "not run" a fact: an attempt that was never
- * handed over can be barred, and a barred attempt is never handed over.
+ * dispatched can be barred, and a barred attempt is never dispatched.
  */
 import type * as decisions from '@azureworks/decisions';
 
 /** Where an attempt stands. */
 export const AttemptState = {
-  /** Waits for the target; not handed over. */
+  /** Waits for the target; not dispatched. */
   Queued: 'queued',
   /** Handed over to the target; its answer is not complete. */
   Running: 'running',
@@ -14,7 +14,7 @@
   Ran: 'ran',
   /** The outcome can no longer be learned. */
   Unknown: 'unknown',
-  /** Will never be handed over. */
+  /** Will never be dispatched. */
   Barred: 'barred',
 } as const;
 export type AttemptState = (typeof AttemptState)[keyof typeof AttemptState];
@@ -58,8 +58,8 @@
     return true;
   }
 
-  /** Marks an attempt as handed over; false when it was barred in the meantime. */
-  handOver(id: string): boolean {
+  /** Marks an attempt as dispatched; false when it was barred in the meantime. */
+  dispatch(id: string): boolean {
     if (this.attempts.get(id)?.state !== AttemptState.Queued) return false;
     this.set(id, AttemptState.Running);
     return true;
@@ -75,7 +75,7 @@
     this.set(id, AttemptState.Unknown);
   }
 
-  /** Bars an attempt unless it was handed over; returns where it stands. */
+  /** Bars an attempt unless it was dispatched; returns where it stands. */
   bar(id: string): AttemptState {
     const state = this.attempts.get(id)?.state ?? AttemptState.Queued;
     if (state !== AttemptState.Queued) return state;
--- a/packages/daemon/src/target/links-task.ts
+++ b/packages/daemon/src/target/links-task.ts
@@ -161,7 +161,8 @@
         queued: workTask.queue.queued,
         running: workTask.queue.running,
         revision: state.revision,
-        sentMs: openLink.sentMs,
+        // Rounded down: an echo must never make a confirmation look younger than it is.
+        sentMs: Math.floor(openLink.sentMs),
         weightVersions: { ...state.weightVersions },
         serviceTimeMs: workTask.serviceTimeMs,
       },
--- a/packages/daemon/src/target/work-run.ts
+++ b/packages/daemon/src/target/work-run.ts
@@ -1,5 +1,5 @@
 /**
- * One attempt at the target, from the hand-over to the last byte of the answer.
+ * One attempt at the target, from the dispatch to the last byte of the answer.
  *
  * The verdict is sent with the head of the answer. When the answer breaks off after its head, the
  * connection to the entry is cut, so that a broken answer can never look like a whole one.
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -1,6 +1,6 @@
 /**
- * The work port of a target daemon: the only door through which requests reach the target. It
- * queues them by priority, hands each attempt over at most once and passes the answer on as it
+ * The work port of a target daemon: the only way by which requests reach the target. It
+ * queues them by priority, dispatches each attempt at most once and passes the answer on as it
  * arrives.
  */
 import type * as http from 'node:http';
@@ -161,7 +161,7 @@
     const waiter: queues.Waiter = {
       priority: Number(request.headers[headers.Header.Priority] ?? 1),
       deadlineMs,
-      admit: () => this.handOver(attempt, request, response, bytes),
+      admit: () => this.dispatch(attempt, request, response, bytes),
       giveBack: (reason) => this.giveBack(attempt, response, reason),
     };
     response.on('close', () => {
@@ -182,14 +182,14 @@
     httpTask.sendFailure(response, failure);
   }
 
-  private handOver(
+  private dispatch(
     attempt: string,
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
     bytes: Buffer,
   ): void {
     const { clock } = this.options;
-    if (!this.ledger.handOver(attempt)) {
+    if (!this.ledger.dispatch(attempt)) {
       this.queue.release(clock.nowMs());
       httpTask.sendFailure(response, decisions.createFailure('request-barred'));
       return;
@@ -216,7 +216,7 @@
     run.start(this.forwarder);
   }
 
-  /** Tells where an attempt stands, and bars it when it was not handed over. */
+  /** Tells where an attempt stands, and bars it when it was not dispatched. */
   private async settle(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
--- a/packages/decisions/src/policies/affinity.ts
+++ b/packages/decisions/src/policies/affinity.ts
@@ -18,6 +18,9 @@
 /** The expected wait at the preferred target may exceed the least one by this many service times. */
 const AFFINITY_SLACK_SERVICE_TIMES = 0.75;
 
+/** Share of the service time by which a half-full target is preferred to a full one. */
+const SPREAD_SHARE = 0.1;
+
 /** A target in another failure domain is charged this much more, in milliseconds. */
 const REMOTE_COST_MS = 1;
 
@@ -34,7 +37,7 @@
   const localCost = candidate.isLocal ? 0 : REMOTE_COST_MS;
   return (
     candidate.serviceTimeMs * Math.max(1, occupancy) +
-    candidate.serviceTimeMs * occupancy * 0.1 +
+    candidate.serviceTimeMs * occupancy * SPREAD_SHARE +
     localCost
   );
 }
--- a/packages/standins/__tests__/fault-matrix.test.ts
+++ b/packages/standins/__tests__/fault-matrix.test.ts
@@ -1,4 +1,4 @@
-import * as arenas from './matrix/arena';
+import * as testbeds from './matrix/testbed';
 import * as faults from './matrix/faults';
 import * as steps from './matrix/steps';
 
@@ -12,36 +12,38 @@
   faults.STORE_FAULTS.map((storeFault) => [fault, storeFault]),
 );
 
-function describeFaults(struck: readonly faults.Fault[]): string {
-  return struck.map((fault) => fault.name).join(' with ');
+function describeFaults(injected: readonly faults.Fault[]): string {
+  return injected.map((fault) => fault.name).join(' with ');
 }
 
 describe('fault matrix', () => {
-  let arena: arenas.Arena;
+  let testbed: testbeds.Testbed;
 
   beforeAll(async () => {
-    arena = await arenas.Arena.create();
+    testbed = await testbeds.Testbed.create();
   }, ROUND_TIMEOUT_MS);
 
   afterAll(async () => {
-    await arena.stop();
+    await testbed.stop();
   }, ROUND_TIMEOUT_MS);
 
   it(
     'loses nothing in planned stops without any fault',
     async () => {
-      const { violations } = await arena.runPlannedStops();
+      const { violations } = await testbed.runPlannedStops();
       expect(violations).toEqual([]);
     },
     ROUND_TIMEOUT_MS,
   );
 
-  const rounds = [...SINGLES, ...PAIRS].map((struck) => [describeFaults(struck), struck] as const);
+  const rounds = [...SINGLES, ...PAIRS].map(
+    (injected) => [describeFaults(injected), injected] as const,
+  );
 
   it.each(rounds)(
     'keeps every promise at every step: %s',
-    async (name, struck) => {
-      const { violations, activity } = await arena.run(struck);
+    async (name, injected) => {
+      const { violations, activity } = await testbed.run(injected);
       expect(violations).toEqual([]);
       const unattempted = Object.entries(steps.STEPS)
         .filter(([step]) => IMPOSSIBLE[name]?.[step] === undefined)
--- a/packages/standins/__tests__/matrix/faults.ts
+++ b/packages/standins/__tests__/matrix/faults.ts
@@ -8,7 +8,7 @@
 export interface Fault {
   readonly name: string;
   /** Brings the fault about; resolves when it has lasted long enough. */
-  strike(fleet: fleets.Fleet): Promise<void>;
+  inject(fleet: fleets.Fleet): Promise<void>;
   /** Ends the fault. */
   heal(fleet: fleets.Fleet): Promise<void>;
 }
@@ -49,7 +49,7 @@
 export const STORE_FAULTS: readonly Fault[] = [
   {
     name: 'store down',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       await setFaults(fleet.platform.url, { down: true });
       await http.sleep(WINDOW_MS);
     },
@@ -59,7 +59,7 @@
   },
   {
     name: 'store slow',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       await setFaults(fleet.platform.url, { slowMs: SLOW_MS });
       await http.sleep(WINDOW_MS);
     },
@@ -69,7 +69,7 @@
   },
   {
     name: 'store answers lost after the write',
-    strike: (fleet) => pulse(() => setFaults(fleet.platform.url, { loseAnswers: 15 })),
+    inject: (fleet) => pulse(() => setFaults(fleet.platform.url, { loseAnswers: 15 })),
     heal: async (fleet) => {
       await setFaults(fleet.platform.url, { loseAnswers: 0 });
     },
@@ -80,7 +80,7 @@
 export const OTHER_FAULTS: readonly Fault[] = [
   {
     name: 'entry killed',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       await fleet.entries[1].daemon.stop('SIGKILL');
       await http.sleep(WINDOW_MS);
     },
@@ -88,7 +88,7 @@
   },
   {
     name: 'target daemons killed',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       const targets = [pick(fleet, 'engine')[0], pick(fleet, 'service')[0]];
       await Promise.all(targets.map((target) => target.daemon.stop('SIGKILL')));
       await http.sleep(WINDOW_MS);
@@ -98,7 +98,7 @@
   },
   {
     name: 'entry frozen past its lease, then resumed',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       fleet.entries[0].daemon.signal('SIGSTOP');
       await http.sleep(FREEZE_MS);
       fleet.entries[0].daemon.signal('SIGCONT');
@@ -107,7 +107,7 @@
   },
   {
     name: 'target daemon frozen, then resumed',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       const targets = [pick(fleet, 'engine')[1], pick(fleet, 'service')[0]];
       targets.forEach((target) => target.daemon.signal('SIGSTOP'));
       await http.sleep(FREEZE_MS);
@@ -117,7 +117,7 @@
   },
   {
     name: 'connection refused',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       const targets = [pick(fleet, 'engine')[0], pick(fleet, 'service')[0]];
       await Promise.all(
         targets.map((target) => setFaults(target.standin.url, { refuseMs: WINDOW_MS })),
@@ -128,7 +128,7 @@
   },
   {
     name: 'cut before the hand-over',
-    strike: (fleet) =>
+    inject: (fleet) =>
       pulse(async () => {
         await setAll(fleet, 'engine', { cutBefore: 3 });
         await setAll(fleet, 'service', { cutBefore: 3 });
@@ -140,21 +140,21 @@
   },
   {
     name: 'cut after the hand-over, before the answer',
-    strike: (fleet) => pulse(() => setAll(fleet, 'service', { loseAnswers: 3 })),
+    inject: (fleet) => pulse(() => setAll(fleet, 'service', { loseAnswers: 3 })),
     heal: async (fleet) => {
       await setAll(fleet, 'service', { loseAnswers: 0 });
     },
   },
   {
     name: 'cut in the middle of the answer',
-    strike: (fleet) => pulse(() => setAll(fleet, 'engine', { cutAnswers: 3 })),
+    inject: (fleet) => pulse(() => setAll(fleet, 'engine', { cutAnswers: 3 })),
     heal: async (fleet) => {
       await setAll(fleet, 'engine', { cutAnswers: 0 });
     },
   },
   {
     name: 'answers late',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       await setAll(fleet, 'engine', { slowMs: SLOW_MS });
       await setAll(fleet, 'service', { slowMs: SLOW_MS });
       await http.sleep(WINDOW_MS);
@@ -166,7 +166,7 @@
   },
   {
     name: "peer's messages held up",
-    strike: (fleet) =>
+    inject: (fleet) =>
       pulse(async () => {
         fleet.entries[1].daemon.signal('SIGSTOP');
         await http.sleep(WINDOW_MS / PULSES);
@@ -176,7 +176,7 @@
   },
   {
     name: 'VM list stale',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       const { vms } = await http.getJson<{ vms: Record<string, unknown>[] }>(
         `${fleet.platform.url}/vms`,
       );
@@ -188,7 +188,7 @@
   },
   {
     name: 'engine crashed',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       const [engine] = pick(fleet, 'engine');
       await setFaults(engine.standin.url, { crashMs: WINDOW_MS });
       await http.sleep(WINDOW_MS);
@@ -197,7 +197,7 @@
   },
   {
     name: 'weight swap failed partway',
-    strike: async (fleet) => {
+    inject: async (fleet) => {
       await setAll(fleet, 'engine', { failSwaps: 2 });
       await http.sleep(WINDOW_MS);
     },
--- a/packages/standins/__tests__/matrix/arena.ts
+++ b/packages/standins/__tests__/matrix/testbed.ts
@@ -34,7 +34,7 @@
 };
 
 /** A running deployment under the workload. */
-export class Arena {
+export class Testbed {
   private round = 0;
 
   /** What earlier rounds have reported already. */
@@ -53,7 +53,7 @@
   static async create(
     runtimeFlags: readonly string[] = [],
     stalenessBound = STALENESS_BOUND,
-  ): Promise<Arena> {
+  ): Promise<Testbed> {
     const fleet = await fleets.Fleet.create({ ...PLAN.fleet, runtimeFlags });
     const { revision } = demo.applyFolder(
       fleet,
@@ -66,19 +66,22 @@
     ]);
     const workload = workloads.Workload.create(fleet, PLAN);
     workload.start();
-    const arena = new Arena(fleet, workload, stalenessBound);
-    await arena.waitForProgress();
-    return arena;
+    const testbed = new Testbed(fleet, workload, stalenessBound);
+    await testbed.waitForProgress();
+    return testbed;
   }
 
-  /** Strikes with all faults at once, restarts a target meanwhile, heals and judges. */
-  async run(struck: readonly faults.Fault[]): Promise<RoundResult> {
+  /** Injects all faults at once, restarts a target meanwhile, heals and judges. */
+  async run(injected: readonly faults.Fault[]): Promise<RoundResult> {
     const { fleet, workload } = this;
     const before = await workload.readActivity();
     this.round += 1;
     const restarted = fleet.targets[fleet.targets.length - 1 - (this.round % 2) * 2];
-    await Promise.all([...struck.map((fault) => fault.strike(fleet)), workload.restart(restarted)]);
-    await Promise.all(struck.map((fault) => fault.heal(fleet)));
+    await Promise.all([
+      ...injected.map((fault) => fault.inject(fleet)),
+      workload.restart(restarted),
+    ]);
+    await Promise.all(injected.map((fault) => fault.heal(fleet)));
     const after = await workload.readActivity();
     await this.waitForProgress();
     await workload.settle();
--- a/packages/standins/__tests__/mutants.test.ts
+++ b/packages/standins/__tests__/mutants.test.ts
@@ -1,5 +1,5 @@
 import * as path from 'node:path';
-import * as arenas from './matrix/arena';
+import * as testbeds from './matrix/testbed';
 import type * as checker from './matrix/checker';
 import * as faults from './matrix/faults';
 
@@ -24,14 +24,14 @@
   flags: readonly string[],
   stalenessBound: number,
 ): Promise<checker.Violation[]> {
-  const arena = await arenas.Arena.create(flags, stalenessBound);
+  const testbed = await testbeds.Testbed.create(flags, stalenessBound);
   try {
-    const planned = await arena.runPlannedStops();
-    const struck = faults.OTHER_FAULTS.filter((fault) => FAULTS.includes(fault.name));
-    const faulty = await arena.run(struck);
+    const planned = await testbed.runPlannedStops();
+    const injected = faults.OTHER_FAULTS.filter((fault) => FAULTS.includes(fault.name));
+    const faulty = await testbed.run(injected);
     return [...planned.violations, ...faulty.violations];
   } finally {
-    await arena.stop();
+    await testbed.stop();
   }
 }
 
