--- a/packages/daemon/__tests__/support/test-keys.ts
+++ b/packages/daemon/__tests__/support/test-keys.ts
@@ -7,8 +7,10 @@
 import type * as links from '@azureworks/links';
 import * as x509 from '@peculiar/x509';
 
-// eslint-disable-next-line n/prefer-global/crypto -- the global one is experimental on Node.js 20
+/* eslint-disable n/prefer-global/crypto, n/no-unsupported-features/node-builtins --
+   the global object is experimental on Node.js 20, its type is not */
 const webcrypto = nodeCrypto.webcrypto as unknown as Crypto;
+/* eslint-enable */
 
 const ALGORITHM = { name: 'ECDSA', namedCurve: 'P-256', hash: 'SHA-256' } as const;
 const VALID_FROM = new Date('2020-01-01');
