Mend what a second reading found

Cause and change, each with a test that failed first or would have: - a probe of an ejected target that ended without telling anything about it kept the target out for good; the probe is now free again; - an attempt that the target refused to receive was settled as unknown; it is settled as not run; - the mark of an unknown weight version could hide where two chunks meet; - '-e URL command' took the command for another URL; the option is repeated now.

Ruled out: scanning whole answers for the mark, which would parse every token.

--- a/packages/client/__tests__/command-line.test.ts
+++ b/packages/client/__tests__/command-line.test.ts
@@ -52,7 +52,7 @@
 
   it('exits with 5 when nobody can be reached', () => {
     const folder = writeFolder({ 'a.ini': '[deployment d]\n' });
-    expect(run('-e', 'http://127.0.0.1:9', '--', 'apply', folder).status).toBe(5);
+    expect(run('-e', 'http://127.0.0.1:9', 'apply', folder, '--json').status).toBe(5);
     fs.rmSync(folder, { recursive: true });
   });
 });
--- a/packages/client/src/bin/azureworks.ts
+++ b/packages/client/src/bin/azureworks.ts
@@ -21,8 +21,13 @@
 
 const program = new commander.Command('azureworks');
 
+function readEntries(): string[] {
+  return (process.env.AZUREWORKS_ENTRY ?? '').split(',').filter((url) => url !== '');
+}
+
 function createClient(): entryClient.EntryClient {
-  const { entry, tokenFile } = program.opts<GlobalOptions>();
+  const { entry: named, tokenFile } = program.opts<GlobalOptions>();
+  const entry = named.length > 0 ? named : readEntries();
   const token = tokenFile
     ? fs.readFileSync(tokenFile, 'utf8').trim()
     : process.env.AZUREWORKS_TOKEN;
@@ -47,9 +52,10 @@
   .description('Operates azureworks deployments from a folder of INI files')
   .version('0.1.0')
   .option(
-    '-e, --entry <url...>',
-    'base URLs of entries, http://IP:PORT; or AZUREWORKS_ENTRY, separated by commas',
-    process.env.AZUREWORKS_ENTRY?.split(',') ?? [],
+    '-e, --entry <url>',
+    'base URL of an entry, http://IP:PORT; may be repeated; or AZUREWORKS_ENTRY, with commas',
+    (url: string, urls: string[]) => [...urls, url],
+    [],
   )
   .option('-t, --token-file <file>', "file with the operators' token; or AZUREWORKS_TOKEN")
   .option('--json', 'print one JSON object')
--- a/packages/daemon/__tests__/ledger.test.ts
+++ b/packages/daemon/__tests__/ledger.test.ts
@@ -3,6 +3,15 @@
 import * as ledgers from '../src/target/ledger';
 
 describe('ledger', () => {
+  it('tells that an attempt did not run which the target refused to receive', () => {
+    const ledger = ledgers.Ledger.create(decisions.ManualClock.create());
+    ledger.open('a');
+    ledger.dispatch('a');
+    ledger.retract('a');
+    expect(ledger.bar('a')).toBe(ledgers.AttemptState.Barred);
+    expect(ledger.dispatch('a')).toBe(false);
+  });
+
   it('never hands an attempt over that it said was barred, nor one twice', () => {
     const action = fastCheck.record({
       id: fastCheck.constantFrom('a', 'b', 'c'),
--- a/packages/daemon/src/core/forwarder.ts
+++ b/packages/daemon/src/core/forwarder.ts
@@ -57,6 +57,7 @@
     key: keys.key,
     cert: keys.certificate,
     ca: keys.authority,
+    servername: '',
     checkServerIdentity: () => undefined,
   };
 }
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -216,8 +216,9 @@
     }
     const { code } = outcome.failure;
     this.context.metrics.count('attempts_failed', { service: this.request.service, code });
-    if (this.isAborted || this.isMoving || code !== 'target-failed') return;
-    target.health.noteFailure(this.context.clock.nowMs());
+    const isInconclusive = this.isAborted || this.isMoving || code !== 'target-failed';
+    if (isInconclusive) target.health.noteInconclusive();
+    else target.health.noteFailure(this.context.clock.nowMs());
   }
 
   private async handleFailure(
@@ -251,11 +252,11 @@
     if (!decisions.isRetryable(verdict, this.request.isIdempotent)) return false;
     if (failure.code === 'deadline-exceeded') return false;
     if (this.joiner.size > LARGEST_RESUMABLE_BYTES) return false;
-    // A target that leaves gives its queue back; moving that work is no sign of trouble.
     if (this.isMoving) {
       this.isMoving = false;
       return true;
     }
+    // A target that leaves gives its queue back; moving that work is no sign of trouble.
     if (failure.code === 'draining' || failure.code === 'target-replaced') return true;
     return this.context.retryBudget.withdraw();
   }
--- a/packages/daemon/src/target/ledger.ts
+++ b/packages/daemon/src/target/ledger.ts
@@ -65,6 +65,11 @@
     return true;
   }
 
+  /** Notes that the target refused an attempt before it received anything. */
+  retract(id: string): void {
+    this.set(id, AttemptState.Barred);
+  }
+
   /** Notes the complete answer of an attempt. */
   finish(id: string, answer?: RecordedAnswer): void {
     this.set(id, AttemptState.Ran, answer);
--- a/packages/daemon/src/target/work-run.ts
+++ b/packages/daemon/src/target/work-run.ts
@@ -10,6 +10,7 @@
 import type * as forwarders from '../core/forwarder';
 import * as httpTask from '../core/http-task';
 import * as headers from '../types/headers';
+import * as byteSearch from '../utils/byte-search';
 import type * as ledgers from './ledger';
 
 /** What a run needs. */
@@ -54,6 +55,8 @@
 
   private recordedBytes = 0;
 
+  private readonly unknownVersion = byteSearch.ByteSearch.create(UNKNOWN_VERSION_MARK);
+
   private constructor(private readonly options: WorkRunOptions) {}
 
   static create(options: WorkRunOptions): WorkRun {
@@ -89,7 +92,7 @@
     this.contentType = String(responseHeaders['content-type'] ?? '');
     if (isEngine && ENGINE_REFUSALS.has(status)) {
       this.forwarded?.abort();
-      this.options.ledger.finish(this.options.attempt);
+      this.options.ledger.retract(this.options.attempt);
       this.refuse();
       return;
     }
@@ -104,7 +107,7 @@
   }
 
   data(chunk: Buffer): boolean {
-    if (this.options.isEngine && chunk.includes(UNKNOWN_VERSION_MARK)) {
+    if (this.options.isEngine && this.unknownVersion.push(chunk)) {
       this.cut();
       return true;
     }
@@ -123,7 +126,7 @@
     if (this.isOver) return;
     if (!wasSent) {
       this.options.noteRefused();
-      this.options.ledger.finish(this.options.attempt);
+      this.options.ledger.retract(this.options.attempt);
       this.refuse();
       return;
     }
--- /dev/null
+++ b/packages/decisions/__tests__/health.test.ts
@@ -0,0 +1,40 @@
+import * as decisions from '@azureworks/decisions';
+
+const { Healthy, Ejected, Probing } = decisions.Health;
+
+function eject(tracker: decisions.HealthTracker, nowMs: number): void {
+  for (let failure = 0; failure < 3; failure += 1) tracker.noteFailure(nowMs);
+}
+
+describe('health', () => {
+  it('ejects after three failures in a row and lets one request probe afterwards', () => {
+    const tracker = decisions.HealthTracker.create();
+    tracker.noteFailure(0);
+    tracker.noteFailure(0);
+    expect(tracker.getHealth(0)).toBe(Healthy);
+    tracker.noteFailure(0);
+    expect(tracker.getHealth(999)).toBe(Ejected);
+    expect(tracker.getHealth(1000)).toBe(Probing);
+    tracker.noteStart();
+    expect(tracker.getHealth(1000)).toBe(Ejected);
+    tracker.noteSuccess();
+    expect(tracker.getHealth(1000)).toBe(Healthy);
+  });
+
+  it('lets another request probe when a probe told nothing about the target', () => {
+    const tracker = decisions.HealthTracker.create();
+    eject(tracker, 0);
+    tracker.noteStart();
+    tracker.noteInconclusive();
+    expect(tracker.getHealth(1000)).toBe(Probing);
+  });
+
+  it('ejects for longer when the probe fails', () => {
+    const tracker = decisions.HealthTracker.create();
+    eject(tracker, 0);
+    tracker.noteStart();
+    tracker.noteFailure(1000);
+    expect(tracker.getHealth(2999)).toBe(Ejected);
+    expect(tracker.getHealth(3000)).toBe(Probing);
+  });
+});
--- a/packages/decisions/src/core/health.ts
+++ b/packages/decisions/src/core/health.ts
@@ -49,6 +49,11 @@
     this.isProbeUnderWay = false;
   }
 
+  /** Notes that a request ended without telling anything about the target. */
+  noteInconclusive(): void {
+    this.isProbeUnderWay = false;
+  }
+
   /** Notes a failure of the target; returns whether it is ejected now. */
   noteFailure(nowMs: number): boolean {
     this.failures += 1;
--- a/packages/standins/src/experiments/demo.ts
+++ b/packages/standins/src/experiments/demo.ts
@@ -66,15 +66,8 @@
 
 /** Applies a configuration folder with the operators' command line. */
 export function applyFolder(fleet: fleets.Fleet, folder: string): { revision: number } {
-  const commandLine = [
-    fleets.CLIENT_SCRIPT,
-    '--json',
-    '-e',
-    ...fleet.entryUrls,
-    '--',
-    'apply',
-    folder,
-  ];
+  const entries = fleet.entryUrls.flatMap((url) => ['--entry', url]);
+  const commandLine = [fleets.CLIENT_SCRIPT, '--json', ...entries, 'apply', folder];
   const result = childProcess.spawnSync(process.execPath, commandLine, { encoding: 'utf8' });
   if (result.status !== 0) throw new Error(`apply failed: ${result.stdout}${result.stderr}`);
   return JSON.parse(result.stdout) as { revision: number };
