Put requests in flight before every planned stop of the matrix

Cause: the mutant that ends a daemon at once was not caught in one run of three: often nothing was in flight at the moment of the stop, so the check judged nothing.

Change: before each planned stop, 12 long completions and 12 slow bookings are put in flight; the check stays as it was.

Before: the mutant passed unseen. After: it is caught, and the daemons as they are keep the promise with requests in flight, at both staleness bounds.

--- a/packages/standins/__tests__/matrix/testbed.ts
+++ b/packages/standins/__tests__/matrix/testbed.ts
@@ -96,8 +96,11 @@
     const { fleet, workload } = this;
     const before = await workload.readActivity();
     const cutsBefore = checker.countCuts(workload);
+    await workload.fillInFlight();
     await workload.restartEntry(fleet.entries[0]);
+    await workload.fillInFlight();
     await workload.restart(fleet.targets[0]);
+    await workload.fillInFlight();
     await workload.restart(fleet.targets[fleet.targets.length - 1]);
     await this.waitForProgress();
     await workload.settle();
--- a/packages/standins/__tests__/matrix/workload.ts
+++ b/packages/standins/__tests__/matrix/workload.ts
@@ -53,6 +53,10 @@
 const OBSERVE_TIMEOUT_MS = 400;
 const DEADLINE_MS = 8000;
 const COMPLETION_TOKENS = 64;
+const LONG_COMPLETION_TOKENS = 400;
+const LONG_REQUESTS = 12;
+const LONG_CALL_MS = 800;
+const FILL_MS = 200;
 const OK = 200;
 
 /** Runs until it is stopped. */
@@ -130,6 +134,20 @@
     this.counts.restarts += 1;
   }
 
+  /** Puts requests that last a while in flight at every entry and at every plain service. */
+  async fillInFlight(): Promise<void> {
+    const services = this.fleet.targets.filter((target) => target.kind === 'service');
+    await Promise.all(services.map(({ standin }) => setSlowness(standin.url, LONG_CALL_MS)));
+    for (let index = 0; index < LONG_REQUESTS; index += 1) {
+      this.turn += 1;
+      const name = `long-${this.turn}`;
+      this.track(this.caller.complete(name, index, LONG_COMPLETION_TOKENS));
+      this.track(this.caller.book(name));
+    }
+    await http.sleep(FILL_MS);
+    await Promise.all(services.map(({ standin }) => setSlowness(standin.url, 0)));
+  }
+
   /** Stops an entry as planned and starts it again. */
   async restartEntry(entry: fleets.FleetEntry): Promise<void> {
     await entry.daemon.stop();
@@ -290,3 +308,7 @@
   const answer = await tryRequest(`${url}/v1/configuration`, 'GET', undefined);
   return answer?.status === OK ? (answer.body as { revision: number }).revision : undefined;
 }
+
+function setSlowness(url: string, slowMs: number): Promise<unknown> {
+  return http.postJson(`${url}/faults`, { slowMs });
+}
