Keep the test's own administration clear of the faults that it injects

Change: the platform stand-in takes administration by a route that no fault switch touches; the stale list is made from the fleet's own.

Ruled out: retries in the test, which would wait for a fault that ends only after them.

--- a/packages/standins/__tests__/matrix/faults.ts
+++ b/packages/standins/__tests__/matrix/faults.ts
@@ -177,11 +177,9 @@
   {
     name: 'VM list stale',
     inject: async (fleet) => {
-      const { vms } = await http.getJson<{ vms: Record<string, unknown>[] }>(
-        `${fleet.platform.url}/vms`,
-      );
+      const vms = fleet.listVms();
       const ghost = { ...vms[vms.length - 1], name: 'ghost', controlPort: GHOST_PORT };
-      await http.postJson(`${fleet.platform.url}/vms`, { vms: [...vms.slice(0, -1), ghost] });
+      await fleet.publishVms([...vms.slice(0, -1), ghost]);
       await http.sleep(WINDOW_MS);
     },
     heal: (fleet) => fleet.publishVms(),
--- a/packages/standins/src/core/platform.ts
+++ b/packages/standins/src/core/platform.ts
@@ -144,10 +144,9 @@
       this.counters.reads += 1;
       return { vms: this.vms };
     });
-    this.server.add('post', '/vms', async ({ body }) => {
+    this.server.addAdministration('/vms', async (body) => {
       await server.sleep(this.options.vmLagMs);
       this.vms = (body as { vms: unknown[] }).vms;
-      return {};
     });
   }
 
--- a/packages/standins/src/core/standin-server.ts
+++ b/packages/standins/src/core/standin-server.ts
@@ -89,6 +89,18 @@
     });
   }
 
+  /** Adds a route for the owner of an experiment, which no fault switch touches. */
+  addAdministration(pattern: string, handler: (body: unknown) => void | Promise<void>): void {
+    this.app.post(pattern, (request, response) => {
+      readBody(request)
+        .then(handler)
+        .then(
+          () => sendJson(response, OK, {}),
+          () => response.destroy(),
+        );
+    });
+  }
+
   /** Binds the port, 0 for any free one, and returns the port taken. */
   listen(address: string, port: number): Promise<number> {
     const server = http.createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
--- a/packages/standins/src/experiments/fleet.ts
+++ b/packages/standins/src/experiments/fleet.ts
@@ -178,7 +178,12 @@
   }
 
   /** Puts the VMs of the fleet on the platform's list. */
-  async publishVms(): Promise<void> {
+  async publishVms(vms: readonly unknown[] = this.listVms()): Promise<void> {
+    await http.postJson(`${this.platform.url}/vms`, { vms });
+  }
+
+  /** The VMs of the fleet, as the platform lists them. */
+  listVms(): Record<string, unknown>[] {
     const create = (
       member: FleetEntry | FleetTarget,
       role: string,
@@ -195,11 +200,10 @@
       state: 'live',
       ...(service && { service }),
     });
-    const vms = [
+    return [
       ...this.entries.map((entry) => create(entry, 'entry')),
       ...this.targets.map((target) => create(target, 'target', target.service)),
     ];
-    await http.postJson(`${this.platform.url}/vms`, { vms });
   }
 
   /** Waits until every entry is ready and links to every target at the newest revision. */
