Read a daemon's metrics in one place

Cause: the speed and control experiments each fetched and parsed /metrics.

Change: one reader for both.

Left: the matrix workload parses the same text with a timeout of its own and passes over daemons that do not answer.

--- a/packages/standins/src/experiments/control.ts
+++ b/packages/standins/src/experiments/control.ts
@@ -3,11 +3,11 @@
  * entries and targets and the rate of configuration changes, and how long a change takes to be in
  * force everywhere, with the store up and with the store lost right after the acceptance.
  */
-import * as undici from 'undici';
 import type * as deployments from './deployments';
 import * as demo from './demo';
 import * as fleets from './fleet';
 import * as http from './http';
+import * as metrics from './metrics';
 
 /** A fleet to measure. */
 interface Size {
@@ -198,21 +198,15 @@
 async function waitForRevision(url: string, revision: number): Promise<void> {
   const deadlineMs = performance.now() + SPREAD_TIMEOUT_MS;
   while (performance.now() < deadlineMs) {
-    const read = await readMetrics(url);
+    const read = await metrics.readMetrics(url);
     if (read('revision') >= revision) return;
     await http.sleep(SPREAD_POLL_MS);
   }
   throw new Error(`${url} did not reach revision ${revision}`);
 }
 
-async function readMetrics(url: string): Promise<(name: string) => number> {
-  const response = await undici.request(`${url}/metrics`);
-  const text = await response.body.text();
-  return (name) => Number(new RegExp(`^azureworks_${name} (.+)$`, 'm').exec(text)?.[1] ?? 0);
-}
-
 async function readCounters(url: string): Promise<Counters> {
-  const read = await readMetrics(url);
+  const read = await metrics.readMetrics(url);
   return {
     processorMicroseconds: read('processor_microseconds'),
     sentBytes: read('control_sent_bytes'),
--- a/packages/standins/src/experiments/speed.ts
+++ b/packages/standins/src/experiments/speed.ts
@@ -8,6 +8,7 @@
 import * as demo from './demo';
 import * as fleets from './fleet';
 import * as http from './http';
+import * as metrics from './metrics';
 
 /** Latencies in milliseconds. */
 export interface Latency {
@@ -220,11 +221,8 @@
 }
 
 /** Reads what a daemon says of its processor time and memory. */
-export async function readUsage(url: string): Promise<Usage> {
-  const response = await undici.request(`${url}/metrics`);
-  const text = await response.body.text();
-  const read = (name: string): number =>
-    Number(new RegExp(`^azureworks_${name} (.+)$`, 'm').exec(text)?.[1] ?? 0);
+async function readUsage(url: string): Promise<Usage> {
+  const read = await metrics.readMetrics(url);
   return {
     processorMicroseconds: read('processor_microseconds'),
     residentBytes: read('resident_bytes'),
