--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -147,7 +147,7 @@
     const { id, request, target, remainingMs, resume } = this.options;
     return {
       method: request.method,
-      path: `/work${request.path}`,
+      path: `/dispatch${request.path}`,
       headers: {
         ...(request.contentType && { 'content-type': request.contentType }),
         ...(request.requestId && { [headers.Header.RequestId]: request.requestId }),
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -30,7 +30,7 @@
   readonly clock: decisions.Clock;
 }
 
-const WORK_PREFIX = '/work';
+const WORK_PREFIX = '/dispatch';
 const LARGEST_BODY_BYTES = 64 * 1024 * 1024;
 const SETTLE_POLL_MS = 10;
 const OK = 200;
