--- a/packages/daemon/__tests__/configuration-task.test.ts
+++ b/packages/daemon/__tests__/configuration-task.test.ts
@@ -1,7 +1,6 @@
 import * as decisions from '@azureworks/decisions';
 import * as fastCheck from 'fast-check';
-import * as metrics from '../src/core/metrics';
-import * as silentLog from '../src/core/silent-log';
+import * as runtime from '@azureworks/runtime';
 import * as stores from '../src/entry/configuration-store';
 import * as configurationTask from '../src/entry/configuration-task';
 import * as memoryTables from './support/memory-tables';
@@ -10,8 +9,8 @@
   return configurationTask.ConfigurationTask.create({
     name,
     store: stores.ConfigurationStore.create(tables),
-    metrics: metrics.Metrics.create(),
-    log: silentLog.SilentLog.create(),
+    metrics: runtime.Metrics.create(),
+    log: runtime.SilentLog.create(),
     clock: decisions.MonotonicClock.create(),
     random: decisions.SeededRandom.create(seed),
   });
--- a/packages/daemon/__tests__/newcomer.test.ts
+++ b/packages/daemon/__tests__/newcomer.test.ts
@@ -1,7 +1,7 @@
 import * as standins from '@azureworks/standins';
 import * as links from '@azureworks/links';
 import * as undici from 'undici';
-import * as silentLog from '../src/core/silent-log';
+import * as runtime from '@azureworks/runtime';
 import * as entry from '../src/entry/entry';
 import * as localSystem from './support/local-system';
 
@@ -12,7 +12,7 @@
     const port = await platform.server.listen('127.0.0.1', 0);
     const settings = localSystem.createSettings('late', 'entry', `http://127.0.0.1:${port}`, []);
     const credentials = links.PlainCredentials.create();
-    const log = silentLog.SilentLog.create();
+    const log = runtime.SilentLog.create();
     const daemon = entry.EntryDaemon.create(settings, credentials, 1, log);
     const { httpPort } = await daemon.start();
     const response = await undici.request(`http://127.0.0.1:${httpPort}/v1/services/app/slots/1`);
--- a/packages/daemon/__tests__/support/local-system.ts
+++ b/packages/daemon/__tests__/support/local-system.ts
@@ -6,7 +6,7 @@
 import * as standins from '@azureworks/standins';
 import * as undici from 'undici';
 import type * as daemons from '../../src/core/daemon';
-import * as silentLog from '../../src/core/silent-log';
+import * as runtime from '@azureworks/runtime';
 import * as tls from '../../src/core/tls';
 import * as entry from '../../src/entry/entry';
 import * as target from '../../src/target/target';
@@ -158,7 +158,7 @@
     const settings = createSettings(name, 'target', platformUrl, [...lines, ...extra]);
     const credentials = tls.createCredentials(settings);
     this.incarnation += 1;
-    const log = silentLog.SilentLog.create();
+    const log = runtime.SilentLog.create();
     return this.run(target.TargetDaemon.create(settings, credentials, this.incarnation, log));
   }
 
@@ -166,7 +166,7 @@
     const settings = createSettings('entry-1', 'entry', platformUrl, extra);
     const credentials = tls.createCredentials(settings);
     this.incarnation += 1;
-    const log = silentLog.SilentLog.create();
+    const log = runtime.SilentLog.create();
     return this.run(entry.EntryDaemon.create(settings, credentials, this.incarnation, log));
   }
 
--- a/packages/daemon/__tests__/support/memory-tables.ts
+++ b/packages/daemon/__tests__/support/memory-tables.ts
@@ -4,17 +4,17 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import * as platform from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 
 type Outcome = 'answered' | 'lost-after' | 'refused';
 
-function fail(verdict: decisions.VerdictKind): platform.StoreFailure {
-  return { kind: platform.StoreFailureKind.Unavailable, verdict, message: 'simulated' };
+function fail(verdict: decisions.VerdictKind): storage.StoreFailure {
+  return { kind: storage.StoreFailureKind.Unavailable, verdict, message: 'simulated' };
 }
 
 /** Rows in memory. */
-export class MemoryTables implements platform.TableService {
-  readonly rows = new Map<string, platform.Row>();
+export class MemoryTables implements storage.TableService {
+  readonly rows = new Map<string, storage.Row>();
 
   private writeNumber = 0;
 
@@ -28,20 +28,20 @@
     return new MemoryTables(random, failureShare);
   }
 
-  read<T>(table: string, key: string): platform.StoreResult<platform.Row<T> | undefined> {
-    return this.run(() => this.rows.get(`${table}/${key}`) as platform.Row<T> | undefined);
+  read<T>(table: string, key: string): storage.StoreResult<storage.Row<T> | undefined> {
+    return this.run(() => this.rows.get(`${table}/${key}`) as storage.Row<T> | undefined);
   }
 
-  list<T>(table: string, prefix: string): platform.StoreResult<platform.Row<T>[]> {
+  list<T>(table: string, prefix: string): storage.StoreResult<storage.Row<T>[]> {
     return this.run(() =>
       [...this.rows]
         .filter(([path]) => path.startsWith(`${table}/${prefix}`))
         .sort(([first], [second]) => (first < second ? -1 : 1))
-        .map(([, row]) => row as platform.Row<T>),
+        .map(([, row]) => row as storage.Row<T>),
     );
   }
 
-  transact(writes: readonly platform.Write[]): platform.StoreResult<string[]> {
+  transact(writes: readonly storage.Write[]): storage.StoreResult<string[]> {
     const outcome = this.draw();
     if (outcome === 'refused') return neverthrow.errAsync(fail(decisions.VerdictKind.NotRun));
     const conflict = writes.find((write) => !this.holds(write));
@@ -50,14 +50,14 @@
       return neverthrow.errAsync(fail(decisions.VerdictKind.MayHaveRun));
     if (!conflict) return neverthrow.okAsync(writes.map(() => `e${this.writeNumber}`));
     return neverthrow.errAsync({
-      kind: platform.StoreFailureKind.Conflict,
+      kind: storage.StoreFailureKind.Conflict,
       verdict: decisions.VerdictKind.NotRun,
       message: 'simulated',
       conflict: conflict.key,
     });
   }
 
-  private run<T>(act: () => T): platform.StoreResult<T> {
+  private run<T>(act: () => T): storage.StoreResult<T> {
     if (this.draw() === 'answered') return neverthrow.okAsync(act());
     return neverthrow.errAsync(fail(decisions.VerdictKind.MayHaveRun));
   }
@@ -68,14 +68,14 @@
     return drawn < this.failureShare / 2 ? 'lost-after' : 'refused';
   }
 
-  private holds(write: platform.Write): boolean {
+  private holds(write: storage.Write): boolean {
     const row = this.rows.get(`${write.table}/${write.key}`);
-    if (write.condition === platform.Condition.Any) return true;
-    if (write.condition === platform.Condition.Absent) return row === undefined;
+    if (write.condition === storage.Condition.Any) return true;
+    if (write.condition === storage.Condition.Absent) return row === undefined;
     return row?.etag === write.condition;
   }
 
-  private apply(write: platform.Write): void {
+  private apply(write: storage.Write): void {
     this.writeNumber += 1;
     const { key, value } = write;
     this.rows.set(`${write.table}/${key}`, { key, value, etag: `e${this.writeNumber}` });
--- a/packages/daemon/src/bin/azureworksd.ts
+++ b/packages/daemon/src/bin/azureworksd.ts
@@ -9,7 +9,7 @@
 import * as configuration from '@azureworks/configuration';
 import * as commander from 'commander';
 import type * as daemons from '../core/daemon';
-import * as log from '../core/log';
+import * as runtime from '@azureworks/runtime';
 import * as tls from '../core/tls';
 import * as entry from '../entry/entry';
 import * as target from '../target/target';
@@ -45,7 +45,7 @@
   return Date.now() * INCARNATIONS_PER_MILLISECOND + random;
 }
 
-function createDaemon(settings: configuration.Settings, daemonLog: log.Log): daemons.Daemon {
+function createDaemon(settings: configuration.Settings, daemonLog: runtime.Log): daemons.Daemon {
   const credentials = tls.createCredentials(settings);
   const incarnation = createIncarnation();
   if (settings.daemon.role === configuration.Role.Entry) {
@@ -57,7 +57,7 @@
 async function run(options: Options): Promise<void> {
   const settings = readSettings(options.settings);
   if (options.check) return;
-  const daemonLog = log.JsonLog.create(settings.log.level, settings.daemon.name);
+  const daemonLog = runtime.JsonLog.create(settings.log.level, settings.daemon.name);
   const daemon = createDaemon(settings, daemonLog);
   let isStopping = false;
   const stop = (signal: NodeJS.Signals): void => {
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -9,7 +9,7 @@
 import type * as links from '@azureworks/links';
 import polka from 'polka';
 import * as headers from '../types/headers';
-import type * as supervisors from './supervisor';
+import type * as runtime from '@azureworks/runtime';
 
 /** A request whose path matched a route. */
 export interface RoutedRequest extends http.IncomingMessage {
@@ -36,7 +36,7 @@
 export type ReadKeys = () => links.Keys;
 
 /** An HTTP server with routes. */
-export class HttpTask implements supervisors.Task {
+export class HttpTask implements runtime.Task {
   readonly name = 'http';
 
   private readonly app = polka({
--- a/packages/daemon/src/core/observability.ts
+++ b/packages/daemon/src/core/observability.ts
@@ -3,7 +3,7 @@
  */
 import * as links from '@azureworks/links';
 import * as httpTask from './http-task';
-import type * as metrics from './metrics';
+import type * as runtime from '@azureworks/runtime';
 
 const OK = 200;
 const SERVICE_UNAVAILABLE = 503;
@@ -11,7 +11,7 @@
 /** Adds the routes; `isReady` tells whether new work is taken. */
 export function addObservability(
   http: httpTask.HttpTask,
-  sharedMetrics: metrics.Metrics,
+  sharedMetrics: runtime.Metrics,
   isReady: () => boolean,
 ): void {
   http.add('get', '/metrics', (_request, response) => {
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -3,7 +3,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import type * as metrics from '../core/metrics';
+import type * as runtime from '@azureworks/runtime';
 import type * as directories from './directory';
 import type * as requests from './request';
 
@@ -29,13 +29,13 @@
   private constructor(
     private readonly directory: directories.Directory,
     private readonly clock: decisions.Clock,
-    private readonly metrics: metrics.Metrics,
+    private readonly metrics: runtime.Metrics,
   ) {}
 
   static create(
     directory: directories.Directory,
     clock: decisions.Clock,
-    sharedMetrics: metrics.Metrics,
+    sharedMetrics: runtime.Metrics,
   ): Admission {
     return new Admission(directory, clock, sharedMetrics);
   }
--- a/packages/daemon/src/entry/assembly.ts
+++ b/packages/daemon/src/entry/assembly.ts
@@ -5,10 +5,9 @@
 import type * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
-import * as platforms from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 import * as httpTask from '../core/http-task';
-import type * as logs from '../core/log';
-import * as metrics from '../core/metrics';
+import * as runtime from '@azureworks/runtime';
 import * as tls from '../core/tls';
 import * as groupExecutor from '../rollout/group-executor';
 import * as rolloutTask from '../rollout/rollout-task';
@@ -30,7 +29,7 @@
   readonly settings: configuration.Settings;
   readonly credentials: links.CredentialSource;
   readonly incarnation: number;
-  readonly log: logs.Log;
+  readonly log: runtime.Log;
 }
 
 /** What all parts share. */
@@ -45,11 +44,11 @@
 /** Makes what all parts share. */
 export function createFoundation({ settings }: Identity) {
   const { daemon } = settings;
-  const platform = platforms.Platform.create(settings.platform.url, settings.platform.timeout_ms);
+  const platform = storage.Storage.create(settings.platform.url, settings.platform.timeout_ms);
   return {
     clock: decisions.MonotonicClock.create(),
     random: decisions.SeededRandom.createUnseeded(),
-    metrics: metrics.Metrics.create(),
+    metrics: runtime.Metrics.create(),
     platform,
     http: httpTask.HttpTask.create(daemon.address, daemon.http_port, daemon.drain_timeout_ms),
     store: stores.ConfigurationStore.create(platform.tables),
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -7,7 +7,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import type * as metrics from '../core/metrics';
+import type * as runtime from '@azureworks/runtime';
 import * as attempts from './attempt';
 import type * as directories from './directory';
 import type * as requests from './request';
@@ -18,7 +18,7 @@
 /** What every call of an entry shares. */
 export interface CallContext {
   readonly directory: directories.Directory;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: runtime.Metrics;
   readonly clock: decisions.Clock;
   readonly retryBudget: decisions.RetryBudget;
   readonly settler: settlements.Settler;
--- a/packages/daemon/src/entry/claims.ts
+++ b/packages/daemon/src/entry/claims.ts
@@ -9,8 +9,8 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import * as platform from '@azureworks/platform';
-import type * as metrics from '../core/metrics';
+import * as storage from '@azureworks/storage';
+import type * as runtime from '@azureworks/runtime';
 import type * as requests from './request';
 import type * as settlements from './settlement';
 import * as pauses from '../utils/pause';
@@ -34,7 +34,7 @@
 /** What every claim of an entry shares. */
 export interface ClaimContext {
   readonly clock: decisions.Clock;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: runtime.Metrics;
   readonly settler: settlements.Settler;
 }
 
@@ -58,7 +58,7 @@
   private place: settlements.AttemptPlace | undefined;
 
   private constructor(
-    private readonly tables: platform.TableService,
+    private readonly tables: storage.TableService,
     private readonly key: string,
     private readonly deadlineMs: number,
     private readonly context: ClaimContext,
@@ -69,7 +69,7 @@
    * @param deadlineMs the deadline of the request, on the monotonic clock
    */
   static create(
-    tables: platform.TableService,
+    tables: storage.TableService,
     key: string,
     deadlineMs: number,
     context: ClaimContext,
@@ -96,7 +96,7 @@
     };
     for (let attempt = 0; attempt < RECORD_ATTEMPTS; attempt += 1) {
       const result = await this.write(row);
-      if (result.isOk() || result.error.kind === platform.StoreFailureKind.Conflict) return;
+      if (result.isOk() || result.error.kind === storage.StoreFailureKind.Conflict) return;
       await pauses.pause(RECORD_PAUSE_MS);
     }
     this.context.metrics.count('claims_unrecorded');
@@ -115,7 +115,7 @@
       return { kind: 'granted' };
     }
     if (written.error.verdict === decisions.VerdictKind.NotRun) {
-      const isUnavailable = written.error.kind === platform.StoreFailureKind.Unavailable;
+      const isUnavailable = written.error.kind === storage.StoreFailureKind.Unavailable;
       if (isUnavailable) return refuse('store-unavailable');
     }
     return this.inspect(place);
@@ -151,8 +151,8 @@
     return { kind: 'answered', answer: settlement.answer };
   }
 
-  private async write(value: ClaimRow): Promise<neverthrow.Result<void, platform.StoreFailure>> {
-    const condition = this.etag ?? platform.Condition.Absent;
+  private async write(value: ClaimRow): Promise<neverthrow.Result<void, storage.StoreFailure>> {
+    const condition = this.etag ?? storage.Condition.Absent;
     const result = await this.tables.transact([{ table: TABLE, key: this.key, condition, value }]);
     if (result.isOk()) [this.etag] = result.value;
     return result.map(() => undefined);
--- a/packages/daemon/src/entry/configuration-store.ts
+++ b/packages/daemon/src/entry/configuration-store.ts
@@ -4,7 +4,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import * as platform from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 
 /** The head row. */
 export interface Head {
@@ -39,21 +39,21 @@
 
 /** Reads and writes the configuration rows. */
 export class ConfigurationStore {
-  private constructor(private readonly tables: platform.TableService) {}
+  private constructor(private readonly tables: storage.TableService) {}
 
-  static create(tables: platform.TableService): ConfigurationStore {
+  static create(tables: storage.TableService): ConfigurationStore {
     return new ConfigurationStore(tables);
   }
 
   /** Reads the head row only; revision 0 before the first change. */
-  readHead(): platform.StoreResult<Head> {
+  readHead(): storage.StoreResult<Head> {
     return this.tables
       .read<Head>(TABLE, HEAD_KEY)
       .map((row) => row?.value ?? { revision: 0, changeId: '' });
   }
 
   /** Reads everything at one revision. */
-  readAll(): platform.StoreResult<StoredConfiguration> {
+  readAll(): storage.StoreResult<StoredConfiguration> {
     return this.tables.list<Head | FileRow>(TABLE, '').andThen((rows) => {
       const head = rows.find((row) => row.key === HEAD_KEY);
       const records = new Map(
@@ -69,12 +69,12 @@
   }
 
   /** Looks an accepted change up by its own id. */
-  findChange(id: string): platform.StoreResult<AcceptedChange | undefined> {
+  findChange(id: string): storage.StoreResult<AcceptedChange | undefined> {
     return this.tables.read<AcceptedChange>(HISTORY_TABLE, `id/${id}`).map((row) => row?.value);
   }
 
   /** The accepted changes, oldest first. */
-  readHistory(): platform.StoreResult<AcceptedChange[]> {
+  readHistory(): storage.StoreResult<AcceptedChange[]> {
     return this.tables
       .list<AcceptedChange>(HISTORY_TABLE, 'revision/')
       .map((rows) => rows.map((row) => row.value));
@@ -85,15 +85,15 @@
     change: decisions.Change,
     author: string,
     stored: StoredConfiguration,
-  ): platform.StoreResult<number> {
+  ): storage.StoreResult<number> {
     const revision = stored.revision + 1;
     const files = decisions.listTouched(change);
     const acceptedAt = new Date().toISOString();
     const accepted: AcceptedChange = { id: change.id, revision, author, acceptedAt, files };
     const head: Head = { revision, changeId: change.id };
-    const { Absent, Any } = platform.Condition;
+    const { Absent, Any } = storage.Condition;
     const revisionKey = `revision/${String(revision).padStart(REVISION_DIGITS, '0')}`;
-    const writes: platform.Write[] = [
+    const writes: storage.Write[] = [
       { table: TABLE, key: HEAD_KEY, condition: stored.headEtag ?? Absent, value: head },
       { table: HISTORY_TABLE, key: `id/${change.id}`, condition: Absent, value: accepted },
       { table: HISTORY_TABLE, key: revisionKey, condition: Absent, value: accepted },
@@ -108,9 +108,9 @@
   }
 }
 
-function createTornReadFailure(): platform.StoreFailure {
+function createTornReadFailure(): storage.StoreFailure {
   return {
-    kind: platform.StoreFailureKind.Unavailable,
+    kind: storage.StoreFailureKind.Unavailable,
     verdict: decisions.VerdictKind.NotRun,
     message: 'the rows were read in the middle of a change',
   };
--- a/packages/daemon/src/entry/configuration-task.ts
+++ b/packages/daemon/src/entry/configuration-task.ts
@@ -9,9 +9,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import type * as logs from '../core/log';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as runtime from '@azureworks/runtime';
 import * as topics from '../core/topic';
 import * as changeWriters from './change-writer';
 import type * as stores from './configuration-store';
@@ -49,8 +47,8 @@
 export interface ConfigurationTaskOptions {
   readonly name: string;
   readonly store: stores.ConfigurationStore;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
   readonly random: decisions.Random;
 }
@@ -62,7 +60,7 @@
 const REMEMBERED_CHANGES = 200;
 
 /** Keeps the configuration of one entry. */
-export class ConfigurationTask implements supervisors.Task {
+export class ConfigurationTask implements runtime.Task {
   readonly name = 'configuration';
 
   /** Published whenever a higher revision comes into force. */
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -4,7 +4,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import type * as platform from '@azureworks/platform';
+import type * as storage from '@azureworks/storage';
 import type * as admissions from './admission';
 import * as calls from './call';
 import * as claims from './claims';
@@ -16,13 +16,13 @@
   private constructor(
     readonly context: calls.CallContext,
     private readonly admission: admissions.Admission,
-    private readonly tables: platform.TableService,
+    private readonly tables: storage.TableService,
   ) {}
 
   static create(
     context: calls.CallContext,
     admission: admissions.Admission,
-    tables: platform.TableService,
+    tables: storage.TableService,
   ): Dispatcher {
     return new Dispatcher(context, admission, tables);
   }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -5,9 +5,8 @@
 import type * as configuration from '@azureworks/configuration';
 import type * as links from '@azureworks/links';
 import type * as daemons from '../core/daemon';
-import type * as logs from '../core/log';
+import * as runtime from '@azureworks/runtime';
 import * as observability from '../core/observability';
-import * as supervisor from '../core/supervisor';
 import * as trainerApi from '../rollout/trainer-api';
 import * as pauses from '../utils/pause';
 import * as assembly from './assembly';
@@ -19,7 +18,7 @@
 
 /** The daemon of one entry VM. */
 export class EntryDaemon implements daemons.Daemon {
-  private readonly tree: supervisor.Supervisor;
+  private readonly tree: runtime.Supervisor;
 
   private isDraining = false;
 
@@ -40,14 +39,14 @@
       rollout.rollout,
       rollout.weights,
     ];
-    this.tree = supervisor.Supervisor.create('entry', tasks, identity.log);
+    this.tree = runtime.Supervisor.create('entry', tasks, identity.log);
   }
 
   static create(
     settings: configuration.Settings,
     credentials: links.CredentialSource,
     incarnation: number,
-    log: logs.Log,
+    log: runtime.Log,
   ): EntryDaemon {
     const identity = { settings, credentials, incarnation, log };
     const foundation = assembly.createFoundation(identity);
--- a/packages/daemon/src/entry/links-task.ts
+++ b/packages/daemon/src/entry/links-task.ts
@@ -4,11 +4,8 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as links from '@azureworks/links';
-import * as platform from '@azureworks/platform';
-import type * as logs from '../core/log';
-import * as machines from '../core/machine';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import * as storage from '@azureworks/storage';
+import * as runtime from '@azureworks/runtime';
 import type * as configurationTask from './configuration-task';
 import type * as directories from './directory';
 import type * as knowledge from './knowledge';
@@ -24,8 +21,8 @@
   readonly membership: membershipTask.MembershipTask;
   readonly directory: directories.Directory;
   readonly knowledge: knowledge.Knowledge;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
 }
 
@@ -38,8 +35,8 @@
 type LinkEvent = 'hello' | 'close' | 'connect';
 
 interface Link {
-  readonly vm: platform.Vm;
-  readonly machine: machines.Machine<LinkState, LinkEvent>;
+  readonly vm: storage.Vm;
+  readonly machine: runtime.Machine<LinkState, LinkEvent>;
   client?: links.LinkClient;
   hello?: links.TargetHello;
   /** The `sentMs` of the last load report; undefined before the first. */
@@ -57,7 +54,7 @@
 const LONGEST_RETRY_MS = 1000;
 
 /** Owns the links of one entry. */
-export class LinksTask implements supervisors.Task {
+export class LinksTask implements runtime.Task {
   readonly name = 'links';
 
   private readonly openLinks = new Map<string, Link>();
@@ -66,7 +63,7 @@
 
   private orderTimer: NodeJS.Timeout | undefined;
 
-  private readonly wanted = new Map<string, platform.Vm>();
+  private readonly wanted = new Map<string, storage.Vm>();
 
   /** The VM list read last, as text. */
   private knownVms = '';
@@ -109,7 +106,7 @@
     return [...this.openLinks.values()].filter((link) => link.machine.isIn('open')).length;
   }
 
-  private takeVms(vms: readonly platform.Vm[]): void {
+  private takeVms(vms: readonly storage.Vm[]): void {
     if (this.isStopped) return;
     const text = JSON.stringify(vms);
     if (text !== this.knownVms) this.chooseWanted(vms);
@@ -118,10 +115,10 @@
   }
 
   /** Chooses the targets to link to; done only when the list has changed. */
-  private chooseWanted(vms: readonly platform.Vm[]): void {
+  private chooseWanted(vms: readonly storage.Vm[]): void {
     const entries = vms.filter((vm) => vm.role === 'entry');
     const targets = vms.filter((vm) => vm.role === 'target');
-    const byService = new Map<string, platform.Vm[]>();
+    const byService = new Map<string, storage.Vm[]>();
     targets.forEach((vm) => {
       const service = vm.service ?? '';
       byService.set(service, [...(byService.get(service) ?? []), vm]);
@@ -144,13 +141,13 @@
     });
   }
 
-  private createLink(key: string, vm: platform.Vm): Link {
+  private createLink(key: string, vm: storage.Vm): Link {
     const log = (state: LinkState, previous: LinkState): void => {
       if (previous === 'open' || state === 'open') {
         this.options.log.change('link', { target: vm.name, state, previous });
       }
     };
-    const machine = machines.Machine.create<LinkState, LinkEvent>('closed', LINK_TRANSITIONS, log);
+    const machine = runtime.Machine.create<LinkState, LinkEvent>('closed', LINK_TRANSITIONS, log);
     const link: Link = { vm, machine, sentSlice: '', retryMs: FIRST_RETRY_MS };
     this.openLinks.set(key, link);
     return link;
@@ -265,6 +262,6 @@
   }
 }
 
-function createKey(vm: platform.Vm): string {
+function createKey(vm: storage.Vm): string {
   return `${vm.name}@${vm.address}:${vm.controlPort}`;
 }
--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -7,10 +7,8 @@
 import * as decisions from '@azureworks/decisions';
 import * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import type * as platform from '@azureworks/platform';
-import type * as logs from '../core/log';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as storage from '@azureworks/storage';
+import type * as runtime from '@azureworks/runtime';
 import * as topics from '../core/topic';
 import type * as configurationTask from './configuration-task';
 import * as remoteGroups from '../rollout/remote-groups';
@@ -28,11 +26,11 @@
   readonly self: Omit<links.Member, 'controlPort' | 'httpPort' | 'state'>;
   readonly controlPort: number;
   readonly credentials: links.CredentialSource;
-  readonly vms: platform.VmList;
+  readonly vms: storage.VmList;
   readonly configuration: configurationTask.ConfigurationTask;
   readonly knowledge: knowledge.Knowledge;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
   readonly random: decisions.Random;
   readHttpPort(): number;
@@ -52,7 +50,7 @@
 /** Keeps the view of the entries. */
 export class MembershipTask
   implements
-    supervisors.Task,
+    runtime.Task,
     links.PeerHandlers,
     configurationTask.Spreader,
     rolloutTask.GroupPlacement
@@ -60,7 +58,7 @@
   readonly name = 'membership';
 
   /** Published with the VM list after every successful read. */
-  readonly vmLists = topics.Topic.create<readonly platform.Vm[]>();
+  readonly vmLists = topics.Topic.create<readonly storage.Vm[]>();
 
   private view: decisions.MemberView<links.Member> | undefined;
 
@@ -313,7 +311,7 @@
   }
 
   /** Takes an entry from the VM list; the list's word is the weakest there is. */
-  private seed(vm: platform.Vm): void {
+  private seed(vm: storage.Vm): void {
     const known = this.view?.get(vm.name);
     const isElsewhere = known && known.controlPort !== vm.controlPort;
     if (known && !(known.state === links.MemberState.Dead && isElsewhere)) return;
--- a/packages/daemon/src/rollout/group-executor.ts
+++ b/packages/daemon/src/rollout/group-executor.ts
@@ -6,9 +6,8 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import type * as platform from '@azureworks/platform';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as storage from '@azureworks/storage';
+import type * as runtime from '@azureworks/runtime';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as dispatchers from '../entry/dispatcher';
 import type * as knowledge from '../entry/knowledge';
@@ -20,8 +19,8 @@
   readonly configuration: configurationTask.ConfigurationTask;
   readonly dispatcher: dispatchers.Dispatcher;
   readonly knowledge: knowledge.Knowledge;
-  readonly objects: platform.ObjectStore;
-  readonly metrics: metrics.Metrics;
+  readonly objects: storage.ObjectStore;
+  readonly metrics: runtime.Metrics;
   readonly clock: decisions.Clock;
 }
 
@@ -40,7 +39,7 @@
 const MOVE_COST = 0.2;
 
 /** Runs groups, each once. */
-export class GroupExecutor implements supervisors.Task {
+export class GroupExecutor implements runtime.Task {
   readonly name = 'group-executor';
 
   private readonly executions = new Map<string, Execution>();
--- a/packages/daemon/src/rollout/group-run.ts
+++ b/packages/daemon/src/rollout/group-run.ts
@@ -6,7 +6,7 @@
 import type * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import * as platform from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 import type * as dispatchers from '../entry/dispatcher';
 import * as sampleRuns from './sample-run';
 
@@ -15,7 +15,7 @@
   readonly order: links.GroupOrder;
   readonly samples: readonly sampleRuns.SampleOrder[];
   readonly dispatcher: dispatchers.Dispatcher;
-  readonly objects: platform.ObjectStore;
+  readonly objects: storage.ObjectStore;
 }
 
 const FIRST_COMMIT_PAUSE_MS = 500;
@@ -94,7 +94,7 @@
   private async tryCommit(result: links.GroupResult): Promise<links.GroupResult | undefined> {
     const key = createGroupKey(this.options.order);
     const put = await this.options.objects.putIfAbsent(key, result);
-    if (put.isOk() && put.value === platform.PutOutcome.Created) return result;
+    if (put.isOk() && put.value === storage.PutOutcome.Created) return result;
     // After a lost answer the object found may be this very result.
     return this.readDecided();
   }
--- a/packages/daemon/src/rollout/rollout-task.ts
+++ b/packages/daemon/src/rollout/rollout-task.ts
@@ -6,9 +6,8 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import type * as platform from '@azureworks/platform';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as storage from '@azureworks/storage';
+import type * as runtime from '@azureworks/runtime';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as directories from '../entry/directory';
 import type * as knowledge from '../entry/knowledge';
@@ -34,8 +33,8 @@
   readonly directory: directories.Directory;
   readonly executor: groupExecutor.GroupExecutor;
   readonly placement: GroupPlacement;
-  readonly objects: platform.ObjectStore;
-  readonly metrics: metrics.Metrics;
+  readonly objects: storage.ObjectStore;
+  readonly metrics: runtime.Metrics;
   readonly clock: decisions.Clock;
 }
 
@@ -48,7 +47,7 @@
 const STALENESS_LABELS = 10;
 
 /** Coordinates the steps of trainers. */
-export class RolloutTask implements supervisors.Task {
+export class RolloutTask implements runtime.Task {
   readonly name = 'rollout';
 
   private readonly steps = new Map<string, coordinators.StepCoordinator>();
--- a/packages/daemon/src/rollout/step-coordinator.ts
+++ b/packages/daemon/src/rollout/step-coordinator.ts
@@ -8,7 +8,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
-import * as machines from '../core/machine';
+import * as runtime from '@azureworks/runtime';
 import * as pauses from '../utils/pause';
 
 /** One group of a step. */
@@ -71,7 +71,7 @@
 
 interface Group {
   readonly specification: GroupSpecification;
-  readonly machine: machines.Machine<GroupState, GroupEvent>;
+  readonly machine: runtime.Machine<GroupState, GroupEvent>;
   generation: number;
   result?: links.GroupResult;
 }
@@ -99,7 +99,7 @@
     this.askedMs = context.clock.nowMs();
     this.endMs = this.askedMs + manifest.deadlineMs;
     manifest.groups.forEach((specification) => {
-      const machine = machines.Machine.create<GroupState, GroupEvent>('waiting', GROUP_TRANSITIONS);
+      const machine = runtime.Machine.create<GroupState, GroupEvent>('waiting', GROUP_TRANSITIONS);
       this.groups.set(specification.group, { specification, machine, generation: 0 });
     });
   }
--- a/packages/daemon/src/rollout/weights-task.ts
+++ b/packages/daemon/src/rollout/weights-task.ts
@@ -6,11 +6,9 @@
 import type * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import * as platform from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 import * as leaseNames from '../core/lease-names';
-import type * as logs from '../core/log';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as runtime from '@azureworks/runtime';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as knowledge from '../entry/knowledge';
 
@@ -21,9 +19,9 @@
   readonly name: string;
   readonly configuration: configurationTask.ConfigurationTask;
   readonly knowledge: knowledge.Knowledge;
-  readonly tables: platform.TableService;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly tables: storage.TableService;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
   /** The names of the entries that serve, this one included. */
   listServingNames(): string[];
@@ -46,7 +44,7 @@
 const ANNOUNCE_ATTEMPTS = 5;
 
 /** Orders weights for the engine services. */
-export class WeightsTask implements supervisors.Task {
+export class WeightsTask implements runtime.Task {
   readonly name = 'weights';
 
   private readonly leases = new Map<string, HeldLease>();
@@ -90,7 +88,7 @@
       const read = await tables.read<AnnouncedRow>(ANNOUNCED_TABLE, key);
       if (read.isOk()) {
         if (read.value && read.value.value.version >= value.version) return true;
-        const condition = read.value?.etag ?? platform.Condition.Absent;
+        const condition = read.value?.etag ?? storage.Condition.Absent;
         const written = await tables.transact([{ table: ANNOUNCED_TABLE, key, condition, value }]);
         if (written.isOk()) return true;
       }
@@ -117,7 +115,7 @@
     const step = held.lease.plan(read.value?.value);
     if (step.kind === 'wait') return;
     const sentMs = clock.nowMs();
-    const condition = read.value?.etag ?? platform.Condition.Absent;
+    const condition = read.value?.etag ?? storage.Condition.Absent;
     const written = await tables.transact([{ table, key, condition, value: step.row }]);
     if (written.isErr()) return;
     held.lease.noteWritten(step.row, sentMs);
--- a/packages/daemon/src/target/links-task.ts
+++ b/packages/daemon/src/target/links-task.ts
@@ -5,9 +5,7 @@
 import * as links from '@azureworks/links';
 import type * as configuration from '@azureworks/configuration';
 import type * as decisions from '@azureworks/decisions';
-import type * as logs from '../core/log';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as runtime from '@azureworks/runtime';
 import * as topics from '../core/topic';
 import type * as states from './target-state';
 import type * as work from './work-task';
@@ -19,8 +17,8 @@
   readonly credentials: links.CredentialSource;
   readonly state: states.TargetState;
   readonly work: work.WorkTask;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
   /** The port of the work server, known once it listens. */
   readHttpPort(): number;
@@ -36,7 +34,7 @@
 const TICK_MS = 100;
 
 /** Serves links from entries. */
-export class LinksTask implements supervisors.Task, links.LinkHandlers {
+export class LinksTask implements runtime.Task, links.LinkHandlers {
   readonly name = 'links';
 
   /** Weight orders from entries. */
--- a/packages/daemon/src/target/target-state.ts
+++ b/packages/daemon/src/target/target-state.ts
@@ -4,7 +4,7 @@
  */
 import type * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
-import * as machines from '../core/machine';
+import * as runtime from '@azureworks/runtime';
 
 const SERVING_TRANSITIONS = {
   joining: { confirm: 'serving', drain: 'draining' },
@@ -26,7 +26,7 @@
 
   private confirmedMs = -Infinity;
 
-  private readonly machine = machines.Machine.create<
+  private readonly machine = runtime.Machine.create<
     keyof typeof SERVING_TRANSITIONS,
     'confirm' | 'drain'
   >('joining', SERVING_TRANSITIONS);
--- a/packages/daemon/src/target/target.ts
+++ b/packages/daemon/src/target/target.ts
@@ -4,13 +4,11 @@
 import type * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
-import * as platforms from '@azureworks/platform';
+import * as storage from '@azureworks/storage';
 import type * as daemons from '../core/daemon';
 import * as httpTask from '../core/http-task';
-import type * as logs from '../core/log';
-import * as metrics from '../core/metrics';
+import * as runtime from '@azureworks/runtime';
 import * as observability from '../core/observability';
-import * as supervisor from '../core/supervisor';
 import * as tls from '../core/tls';
 import * as linksTask from './links-task';
 import * as states from './target-state';
@@ -23,13 +21,13 @@
 /** The daemon beside one target. */
 export class TargetDaemon implements daemons.Daemon {
   private constructor(
-    private readonly tree: supervisor.Supervisor,
+    private readonly tree: runtime.Supervisor,
     private readonly parts: {
       readonly http: httpTask.HttpTask;
       readonly state: states.TargetState;
       readonly work: workTask.WorkTask;
       readonly links: linksTask.LinksTask;
-      readonly platform: platforms.Platform;
+      readonly platform: storage.Storage;
     },
   ) {}
 
@@ -37,13 +35,13 @@
     settings: configuration.Settings,
     credentials: links.CredentialSource,
     incarnation: number,
-    log: logs.Log,
+    log: runtime.Log,
   ): TargetDaemon {
     const { daemon } = settings;
     const target = settings.target as configuration.TargetSettings;
     const clock = decisions.MonotonicClock.create();
-    const sharedMetrics = metrics.Metrics.create();
-    const platform = platforms.Platform.create(settings.platform.url, settings.platform.timeout_ms);
+    const sharedMetrics = runtime.Metrics.create();
+    const platform = storage.Storage.create(settings.platform.url, settings.platform.timeout_ms);
     const state = states.TargetState.create(clock);
     const http = httpTask.HttpTask.create(
       daemon.address,
@@ -90,7 +88,7 @@
       () => state.isConfirmed && !state.isDraining,
     );
     const tasks = [http, ...(isEngine ? [weights] : []), work, linkTask];
-    const tree = supervisor.Supervisor.create('target', tasks, log);
+    const tree = runtime.Supervisor.create('target', tasks, log);
     return new TargetDaemon(tree, { http, state, work, links: linkTask, platform });
   }
 
--- a/packages/daemon/src/target/weights-task.ts
+++ b/packages/daemon/src/target/weights-task.ts
@@ -8,23 +8,20 @@
 import type * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
-import type * as platform from '@azureworks/platform';
+import type * as storage from '@azureworks/storage';
 import * as undici from 'undici';
 import * as leaseNames from '../core/lease-names';
-import type * as logs from '../core/log';
-import * as mailboxes from '../core/mailbox';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import * as runtime from '@azureworks/runtime';
 import type * as states from './target-state';
 import * as pauses from '../utils/pause';
 
 /** What the weights task needs. */
 export interface WeightsTaskOptions {
   readonly target: configuration.TargetSettings;
-  readonly tables: platform.TableService;
+  readonly tables: storage.TableService;
   readonly state: states.TargetState;
-  readonly metrics: metrics.Metrics;
-  readonly log: logs.Log;
+  readonly metrics: runtime.Metrics;
+  readonly log: runtime.Log;
   readonly clock: decisions.Clock;
   /** Called when the weight version became unknown in the middle of answers. */
   cutStreams(): void;
@@ -40,14 +37,14 @@
 const OK = 200;
 
 /** Obeys weight orders for one engine. */
-export class WeightsTask implements supervisors.Task {
+export class WeightsTask implements runtime.Task {
   readonly name = 'weights';
 
   private readonly fence = decisions.Fence.create();
 
   private readonly wanted = new Map<string, links.WeightsOrder>();
 
-  private readonly mailbox: mailboxes.Mailbox<string>;
+  private readonly mailbox: runtime.Mailbox<string>;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -60,7 +57,7 @@
   private readonly loading = new Set<string>();
 
   private constructor(private readonly options: WeightsTaskOptions) {
-    this.mailbox = mailboxes.Mailbox.create(
+    this.mailbox = runtime.Mailbox.create(
       (model: string) => this.obey(model),
       () => options.metrics.count('weight_order_errors'),
     );
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -8,8 +8,7 @@
 import * as body from '../core/body';
 import * as forwarders from '../core/forwarder';
 import * as httpTask from '../core/http-task';
-import type * as metrics from '../core/metrics';
-import type * as supervisors from '../core/supervisor';
+import type * as runtime from '@azureworks/runtime';
 import * as topics from '../core/topic';
 import * as headers from '../types/headers';
 import * as averages from '../utils/average';
@@ -26,7 +25,7 @@
   /** Changes with every start of this daemon. */
   readonly incarnation: number;
   readonly state: states.TargetState;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: runtime.Metrics;
   readonly clock: decisions.Clock;
 }
 
@@ -38,7 +37,7 @@
 const INITIAL_SERVICE_TIME_MS = 50;
 
 /** Serves the work port. */
-export class WorkTask implements supervisors.Task {
+export class WorkTask implements runtime.Task {
   readonly name = 'work';
 
   readonly ledger: ledgers.Ledger;
--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -23,6 +23,9 @@
   'unknown-service': { status: 404, verdict: NotRun, message: 'the service is unknown' },
   'unknown-trainer': { status: 404, verdict: NotRun, message: 'the trainer is unknown' },
   'unknown-step': { status: 404, verdict: NotRun, message: 'the step has not been submitted' },
+  'unknown-route': { status: 404, verdict: NotRun, message: 'no route matches the request' },
+  'unknown-job': { status: 404, verdict: NotRun, message: 'there is no such batch job' },
+  'unknown-item': { status: 404, verdict: NotRun, message: 'the batch job has no such item' },
   'not-found': { status: 404, verdict: NotRun, message: 'there is no such resource' },
   conflict: { status: 409, verdict: NotRun, message: 'another change was accepted first' },
   'stale-fence': { status: 409, verdict: NotRun, message: 'the fencing number is out of date' },
@@ -44,6 +47,11 @@
   'outcome-unknown': { status: 502, verdict: MayHaveRun, message: 'the outcome is not known' },
   'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
   'store-unavailable': { status: 503, verdict: NotRun, message: 'the store cannot be reached' },
+  'no-configuration': {
+    status: 503,
+    verdict: NotRun,
+    message: 'no configuration has been read yet',
+  },
   'revision-unconfirmed': {
     status: 503,
     verdict: NotRun,
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,52 @@
+/**
+ * Public entry of the gateway package.
+ */
+export { Gateway, type GatewayParts, type GatewayReply } from './core/gateway';
+export type { Environment } from './types/environment';
+export {
+  type ChangesOutcome,
+  type PartitionsOutcome,
+  type ReadOutcome,
+  type Row,
+  type RowAddress,
+  type RowChange,
+  type RowCondition,
+  type RowRange,
+  type RowWrite,
+  type Store,
+  type StoreFailure,
+  StoreStatus,
+  type Transaction,
+  type TransactionOutcome,
+} from './types/store';
+export type { ConnectedStore } from './store/routed-store';
+export type { OperatorRow } from './configuration/configuration-keeper';
+export {
+  type CallerLimits,
+  type Configuration,
+  type Route,
+  RouteKind,
+  type Service,
+  type WeightedService,
+} from './types/configuration';
+export {
+  type CallOptions,
+  type CallOutcome,
+  CallStatus,
+  OrderStatus,
+  type Replica,
+  type ReplicaAnswer,
+  type ReplicaCaller,
+  type ReplicaLoad,
+  type ReplicaReport,
+  type ReplicaRequest,
+  type StreamEvent,
+  type StreamHead,
+  type StreamOptions,
+  type StreamOutcome,
+  type StreamReceiver,
+  type WeightsOrder,
+} from './types/replica';
+export { type BatchJob, type Item, type ItemResult, ResultState, type ScoringCall } from './types/batch-job';
+export type { CallerRequest, Reply } from './types/exchange';
+export type { Answer, ResultsPage } from './jobs/job-service';
--- /dev/null
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -0,0 +1,280 @@
+/**
+ * Reads and changes batch jobs in the store. Every change is conditional on the revision of the
+ * job's head row that the writer knows.
+ */
+import type * as environments from '../types/environment';
+import type * as jobs from '../types/batch-job';
+import * as settled from '../store/settled-transaction';
+import * as stores from '../types/store';
+import * as records from './job-record';
+
+/** A head row with the revision under which it was read or written. */
+export interface HeadState {
+  readonly head: records.JobHead;
+  readonly revision: number;
+}
+
+/** A job as it is in the store. */
+export interface LoadedJob {
+  readonly items: readonly jobs.Item[];
+  readonly results: readonly jobs.ItemResult[];
+  readonly partials: readonly records.PartialText[];
+}
+
+/** A read that failed because the store did not answer. */
+export const UNREADABLE = Symbol('unreadable');
+
+/** How long a change is tried before the caller hears that its outcome is unknown. */
+const CHANGE_LIMIT_MS = 2500;
+/** Most bytes and rows that one transaction carries; the store takes 1 MB and 100 entries. */
+const TRANSACTION_BYTES = 600_000;
+const TRANSACTION_ROWS = 80;
+
+/** The jobs in the store. */
+export class JobStore {
+  private writes = 0;
+
+  private constructor(
+    private readonly environment: environments.Environment,
+    private readonly store: stores.Store,
+  ) {}
+
+  static create(environment: environments.Environment, store: stores.Store): JobStore {
+    return new JobStore(environment, store);
+  }
+
+  /** The store's clock. */
+  get nowMs(): number {
+    return this.store.nowMs;
+  }
+
+  /** Stores a new job that this process runs. Conflict means that the job exists. */
+  async create(
+    job: jobs.BatchJob,
+  ): Promise<{ readonly outcome: stores.TransactionOutcome; readonly head: records.JobHead }> {
+    const head: records.JobHead = {
+      owner: this.self,
+      isEnded: false,
+      isFinished: false,
+      total: job.items.length,
+      listed: 0,
+      submittedMs: this.store.nowMs,
+      host: job.host,
+      path: job.path,
+      step: job.step,
+      model: job.model,
+      oldestVersion: job.oldestVersion,
+      wantedGroups: job.wantedGroups,
+      writeId: this.createWriteId(),
+    };
+    const open = { table: records.OPEN_TABLE, partition: job.id, key: records.OPEN_KEY };
+    const rows = [...records.createItemRows(job), { ...open, value: Buffer.from('1') }];
+    const batches = splitRows(rows);
+    const last = batches.pop() ?? [];
+    // Rows without a head mean nothing, so a job that needs several transactions exists as a
+    // whole with the last one or not at all.
+    for (const writes of batches) {
+      const outcome = await this.settle({ conditions: [], writes, removals: [] }, undefined);
+      if (outcome.status !== stores.StoreStatus.Done) {
+        return { outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' }, head };
+      }
+    }
+    const marker = this.createHeadWrite(job.id, head);
+    const conditions = [{ ...this.locateHead(job.id), revision: 0 }];
+    const outcome = await this.settle(
+      { conditions, writes: [marker, ...last], removals: [] },
+      marker,
+    );
+    return { outcome, head };
+  }
+
+  /** The head of a job; undefined when there is no such job. */
+  async readHead(id: string): Promise<HeadState | undefined | typeof UNREADABLE> {
+    const outcome = await this.store.read({
+      table: records.JOBS_TABLE,
+      partition: id,
+      from: records.HEAD_KEY,
+      to: `${records.HEAD_KEY}.`,
+    });
+    if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
+    const row = outcome.rows.find((candidate) => candidate.key === records.HEAD_KEY);
+    const head = row && records.decodeHead(row);
+    return head ? { head, revision: row.revision } : undefined;
+  }
+
+  /** The items of a job. */
+  async readItems(id: string): Promise<readonly jobs.Item[] | typeof UNREADABLE> {
+    const outcome = await this.store.read({
+      table: records.JOBS_TABLE,
+      partition: id,
+      from: records.ITEMS_PREFIX,
+      to: records.ITEMS_END,
+    });
+    if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
+    return records.readItems(outcome.rows);
+  }
+
+  /** The results of a job from a position on. */
+  async readResults(
+    id: string,
+    position: number,
+  ): Promise<readonly jobs.ItemResult[] | typeof UNREADABLE> {
+    const outcome = await this.store.read({
+      table: records.RESULTS_TABLE,
+      partition: id,
+      from: records.createPositionKey(position),
+    });
+    if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
+    return records.readPositions<jobs.ItemResult>(outcome.rows).map((entry) => entry.value);
+  }
+
+  /** Everything that is needed to go on with a job. */
+  async load(id: string): Promise<LoadedJob | typeof UNREADABLE> {
+    const [items, results, partials] = await Promise.all([
+      this.readItems(id),
+      this.readResults(id, 0),
+      this.store.read({ table: records.PARTIALS_TABLE, partition: id }),
+    ]);
+    if (items === UNREADABLE || results === UNREADABLE) return UNREADABLE;
+    if (partials.status !== stores.StoreStatus.Done) return UNREADABLE;
+    const texts = records.readPositions<records.PartialText>(partials.rows);
+    return { items, results, partials: texts.map((entry) => entry.value) };
+  }
+
+  /** The ids of all jobs that still have to be run. */
+  async listOpen(): Promise<readonly string[] | typeof UNREADABLE> {
+    const outcome = await this.store.listPartitions(records.OPEN_TABLE);
+    return outcome.status === stores.StoreStatus.Done ? outcome.partitions : UNREADABLE;
+  }
+
+  /** Makes this process the owner of a job. */
+  claim(id: string, state: HeadState): Promise<ChangeOutcome> {
+    return this.change(id, state, { owner: this.self }, [], []);
+  }
+
+  /**
+   * Lists results at the next positions. As many as fit one transaction are taken; the outcome's
+   * head tells how many.
+   */
+  append(
+    id: string,
+    state: HeadState,
+    results: readonly jobs.ItemResult[],
+  ): Promise<ChangeOutcome> {
+    const { head } = state;
+    const writes: stores.RowWrite[] = [];
+    let count = 0;
+    let bytes = 0;
+    for (const result of results) {
+      const position = head.listed + count;
+      const rows = records.createPositionRows(records.RESULTS_TABLE, id, position, result);
+      bytes += rows.reduce((sum, row) => sum + row.value.length, 0);
+      const isFull = bytes > TRANSACTION_BYTES || writes.length + rows.length > TRANSACTION_ROWS;
+      if (count > 0 && isFull) break;
+      writes.push(...rows);
+      count += 1;
+    }
+    const listed = head.listed + count;
+    const isFinished = listed === head.total;
+    const removals = isFinished ? [this.locateOpen(id)] : [];
+    return this.change(id, state, { listed, isFinished }, writes, removals);
+  }
+
+  /** Ends a job; nothing is listed afterwards. */
+  end(id: string, state: HeadState): Promise<ChangeOutcome> {
+    const notice = createNotice(id, records.Notice.Ended);
+    return this.change(id, state, { isEnded: true }, [notice], [this.locateOpen(id)]);
+  }
+
+  /** Gives a job back so that another gateway goes on with it. */
+  release(
+    id: string,
+    state: HeadState,
+    partials: readonly { readonly index: number; readonly text: records.PartialText }[],
+  ): Promise<ChangeOutcome> {
+    const rows = partials.flatMap(({ index, text }) =>
+      records.createPositionRows(records.PARTIALS_TABLE, id, index, text),
+    );
+    const fitting = splitRows(rows)[0] ?? [];
+    const notice = createNotice(id, records.Notice.Released);
+    return this.change(id, state, { owner: null }, [...fitting, notice], []);
+  }
+
+  private async change(
+    id: string,
+    state: HeadState,
+    change: Partial<records.JobHead>,
+    writes: readonly stores.RowWrite[],
+    removals: readonly stores.RowAddress[],
+  ): Promise<ChangeOutcome> {
+    const head = { ...state.head, ...change, writeId: this.createWriteId() };
+    const marker = this.createHeadWrite(id, head);
+    const conditions = [{ ...this.locateHead(id), revision: state.revision }];
+    const transaction = { conditions, writes: [marker, ...writes], removals };
+    const outcome = await this.settle(transaction, marker);
+    if (outcome.status !== stores.StoreStatus.Done) return { status: outcome.status };
+    return { status: outcome.status, state: { head, revision: outcome.revision } };
+  }
+
+  private settle(
+    transaction: stores.Transaction,
+    marker: stores.RowWrite | undefined,
+  ): Promise<stores.TransactionOutcome> {
+    const { nowMs, pause, random } = this.environment;
+    const options = { limitMs: CHANGE_LIMIT_MS, nowMs, pause, random };
+    const fallback = transaction.writes[0] as stores.RowWrite;
+    return settled.settleTransaction(this.store, transaction, marker ?? fallback, options);
+  }
+
+  private get self(): records.JobOwner {
+    return { vm: this.environment.vm, incarnation: this.environment.incarnation };
+  }
+
+  private createWriteId(): string {
+    this.writes += 1;
+    return `${this.environment.incarnation}.${this.writes}`;
+  }
+
+  private createHeadWrite(id: string, head: records.JobHead): stores.RowWrite {
+    return { ...this.locateHead(id), value: records.encodeValue(head) };
+  }
+
+  private locateHead(id: string): stores.RowAddress {
+    return { table: records.JOBS_TABLE, partition: id, key: records.HEAD_KEY };
+  }
+
+  private locateOpen(id: string): stores.RowAddress {
+    return { table: records.OPEN_TABLE, partition: id, key: records.OPEN_KEY };
+  }
+}
+
+/** The outcome of a change of a job. */
+export type ChangeOutcome =
+  | { readonly status: typeof stores.StoreStatus.Done; readonly state: HeadState }
+  | { readonly status: Exclude<stores.TransactionOutcome['status'], 'done'> };
+
+function createNotice(id: string, notice: records.Notice): stores.RowWrite {
+  return {
+    table: records.NOTICES_TABLE,
+    partition: id,
+    key: notice,
+    value: Buffer.from(notice),
+  };
+}
+
+/** Splits rows so that each part fits a transaction. */
+function splitRows(rows: readonly stores.RowWrite[]): stores.RowWrite[][] {
+  const parts: stores.RowWrite[][] = [[]];
+  let bytes = 0;
+  rows.forEach((row) => {
+    const part = parts[parts.length - 1] as stores.RowWrite[];
+    bytes += row.value.length;
+    if (part.length > 0 && (bytes > TRANSACTION_BYTES || part.length >= TRANSACTION_ROWS)) {
+      parts.push([row]);
+      bytes = row.value.length;
+    } else {
+      part.push(row);
+    }
+  });
+  return parts;
+}
--- /dev/null
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -0,0 +1,157 @@
+/**
+ * Renews this gateway's row in the store, reads the rows of the others, and tells who lives.
+ */
+import type * as runtime from '@azureworks/runtime';
+import * as suspensions from '../core/suspension';
+import type * as environments from '../types/environment';
+import * as stores from '../types/store';
+import * as membership from './membership';
+
+/** The table of the members' rows; each failure domain is a partition of its own. */
+const MEMBERS_TABLE = 'members';
+/** How often the own row is renewed and the others are read; a third of the lapse time. */
+const INTERVAL_MS = 1000;
+/** Each member adds this to the interval, so that many of them stay within the store's rates. */
+const INTERVAL_A_MEMBER_MS = 8;
+/** After a failure the row is renewed sooner, in milliseconds. */
+const RETRY_MS = 250;
+/** For how long a renewal is trusted, in milliseconds; others wait for the whole lapse time. */
+const TRUSTED_MS = 2200;
+
+/** What the task needs. */
+export interface MembershipParts {
+  readonly environment: environments.Environment;
+  readonly store: stores.Store;
+  readonly failureDomains: readonly string[];
+  /** Called after the view changed. */
+  readonly changed: () => void;
+}
+
+/** This gateway's part in the membership. */
+export class MembershipTask implements runtime.Task {
+  readonly name = 'membership';
+
+  private readonly view = membership.Membership.create();
+
+  private readonly suspension: suspensions.Suspension;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private isStopped = false;
+
+  private trustedUntilMs = -Infinity;
+
+  private live = '';
+
+  private constructor(private readonly parts: MembershipParts) {
+    const { nowMs, wallMs } = parts.environment;
+    this.suspension = suspensions.Suspension.create(nowMs, wallMs);
+  }
+
+  static create(parts: MembershipParts): MembershipTask {
+    return new MembershipTask(parts);
+  }
+
+  start(): Promise<void> {
+    this.run();
+    return Promise.resolve();
+  }
+
+  /** Removes the own row, so that the others need not wait for it to lapse. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+    await this.parts.store.transact({ conditions: [], writes: [], removals: [this.address] });
+  }
+
+  /** Whether no other process can have concluded that this one is gone. */
+  get isTrusted(): boolean {
+    if (this.suspension.look()) this.trustedUntilMs = -Infinity;
+    return this.parts.environment.nowMs() < this.trustedUntilMs;
+  }
+
+  /** See Membership.isGone. */
+  isGone(vm: string, incarnation: string): boolean {
+    const { environment } = this.parts;
+    if (vm === environment.vm) return incarnation !== environment.incarnation;
+    return this.view.isGone(vm, incarnation);
+  }
+
+  /** The VMs whose gateways live, this one included. */
+  listLiveVms(): string[] {
+    const others = this.listPeers().map((record) => record.vm);
+    return [this.parts.environment.vm, ...others];
+  }
+
+  /** The other gateways that live. */
+  listPeers(): membership.MemberRecord[] {
+    const { vm } = this.parts.environment;
+    return this.view.listLive().filter((record) => record.vm !== vm);
+  }
+
+  private get address(): stores.RowAddress {
+    const { failureDomain, vm } = this.parts.environment;
+    return { table: MEMBERS_TABLE, partition: failureDomain, key: vm };
+  }
+
+  private async run(): Promise<void> {
+    const isRenewed = await this.renew();
+    const isRead = await this.readAll();
+    if (this.isStopped) return;
+    const regularMs = INTERVAL_MS + INTERVAL_A_MEMBER_MS * this.view.listLive().length;
+    const delayMs = isRenewed && isRead ? regularMs : RETRY_MS;
+    this.timer = setTimeout(() => this.run(), delayMs * (0.9 + 0.2 * this.parts.environment.random()));
+  }
+
+  private async renew(): Promise<boolean> {
+    const { environment, store } = this.parts;
+    const sentMs = environment.nowMs();
+    this.suspension.look();
+    const { incarnation, peerAddress } = environment;
+    const value = Buffer.from(JSON.stringify({ incarnation, address: peerAddress }));
+    const write = { ...this.address, value };
+    const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
+    if (outcome.status !== stores.StoreStatus.Done) return false;
+    if (!this.suspension.look()) this.trustedUntilMs = sentMs + TRUSTED_MS;
+    return true;
+  }
+
+  private async readAll(): Promise<boolean> {
+    const { store, failureDomains, environment } = this.parts;
+    const outcomes = await Promise.all(
+      failureDomains.map((partition) => store.read({ table: MEMBERS_TABLE, partition })),
+    );
+    const records: membership.MemberRecord[] = [];
+    for (const outcome of outcomes) {
+      if (outcome.status !== stores.StoreStatus.Done) return false;
+      records.push(...outcome.rows.flatMap(decodeRecord));
+    }
+    this.view.update(records, environment.nowMs());
+    this.announce();
+    return true;
+  }
+
+  private announce(): void {
+    const live = this.view
+      .listLive()
+      .map((record) => `${record.vm}#${record.incarnation}`)
+      .sort()
+      .join(' ');
+    if (live === this.live) return;
+    this.parts.environment.log.change('members changed', { live });
+    this.live = live;
+    this.parts.changed();
+  }
+}
+
+function decodeRecord(row: stores.Row): membership.MemberRecord[] {
+  try {
+    const { incarnation, address } = JSON.parse(row.value.toString()) as Record<string, unknown>;
+    if (typeof incarnation !== 'string' || typeof address !== 'string') return [];
+    const { key, partition, revision } = row;
+    return [{ vm: key, failureDomain: partition, incarnation, address, revision }];
+  } catch {
+    // A row that is not JSON was not written by a gateway; it names no member.
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/types/batch-job.ts
@@ -0,0 +1,57 @@
+/**
+ * Batch jobs: a trainer's items of one step, submitted together and run later.
+ */
+
+/** The call that scores an item's text. */
+export interface ScoringCall {
+  readonly id: string;
+  readonly host: string;
+  readonly path: string;
+  readonly body: Buffer;
+}
+
+/** An item of a batch job. */
+export interface Item {
+  readonly id: string;
+  readonly path: string;
+  /** Name and value in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Items of a group share their prompt; empty where the job has no groups. */
+  readonly group: string;
+  readonly model: string;
+  /** Prompt tokens and the most output tokens together. */
+  readonly tokens: number;
+  /** The caller's estimate of the output tokens, where it gave one. */
+  readonly expectedOutputTokens: number | undefined;
+  readonly scoring: ScoringCall | undefined;
+}
+
+/** A batch job as it was submitted. */
+export interface BatchJob {
+  readonly id: string;
+  readonly host: string;
+  /** The path under which it was submitted; it selects the route. */
+  readonly path: string;
+  readonly step: number;
+  readonly model: string;
+  /** The oldest version of the weights that may produce an event. */
+  readonly oldestVersion: number;
+  /** How many whole groups the trainer waits for. */
+  readonly wantedGroups: number;
+  readonly items: readonly Item[];
+}
+
+/** How an item ended. */
+export const ResultState = { Completed: 'completed', Terminated: 'terminated' } as const;
+export type ResultState = (typeof ResultState)[keyof typeof ResultState];
+
+/** The result of an item. */
+export interface ItemResult {
+  readonly itemId: string;
+  readonly state: ResultState;
+  readonly text: string;
+  /** All versions of the weights that produced an event of the text. */
+  readonly versions: readonly number[];
+  readonly score: string | undefined;
+}
--- a/packages/platform/src/core/http-object-store.ts
+++ b/packages/storage/src/core/http-object-store.ts
@@ -13,7 +13,7 @@
 
 /** Speaks to the object store. */
 export class HttpObjectStore implements store.ObjectStore {
-  constructor(private readonly connection: http.PlatformConnection) {}
+  constructor(private readonly connection: http.StorageConnection) {}
 
   putIfAbsent(key: string, value: unknown): store.StoreResult<store.PutOutcome> {
     const path = `/objects/${encodeURIComponent(key)}`;
--- a/packages/platform/src/core/http-platform.ts
+++ b/packages/storage/src/core/http-storage.ts
@@ -11,18 +11,18 @@
 import * as httpVmList from './http-vm-list';
 
 /** All services of the platform that a daemon uses. */
-export class Platform {
+export class Storage {
   private constructor(
-    private readonly connection: http.PlatformConnection,
+    private readonly connection: http.StorageConnection,
     readonly tables: store.TableService,
     readonly objects: store.ObjectStore,
     readonly vms: store.VmList,
   ) {}
 
-  /** Connects to the platform over HTTP; see PlatformConnection for the parameters. */
-  static create(url: string, timeoutMs: number): Platform {
-    const connection = http.PlatformConnection.create(url, timeoutMs);
-    return new Platform(
+  /** Connects to the platform over HTTP; see StorageConnection for the parameters. */
+  static create(url: string, timeoutMs: number): Storage {
+    const connection = http.StorageConnection.create(url, timeoutMs);
+    return new Storage(
       connection,
       new httpTableService.HttpTableService(connection),
       new httpObjectStore.HttpObjectStore(connection),
--- a/packages/platform/src/core/http-table-service.ts
+++ b/packages/storage/src/core/http-table-service.ts
@@ -13,7 +13,7 @@
 
 /** Speaks to the table service. */
 export class HttpTableService implements store.TableService {
-  constructor(private readonly connection: http.PlatformConnection) {}
+  constructor(private readonly connection: http.StorageConnection) {}
 
   read<T>(table: string, key: string): store.StoreResult<store.Row<T> | undefined> {
     const path = `/tables/${table}/rows/${encodeURIComponent(key)}`;
--- a/packages/platform/src/core/http-vm-list.ts
+++ b/packages/storage/src/core/http-vm-list.ts
@@ -10,7 +10,7 @@
 
 /** Reads the VM list. */
 export class HttpVmList implements store.VmList {
-  constructor(private readonly connection: http.PlatformConnection) {}
+  constructor(private readonly connection: http.StorageConnection) {}
 
   read(): store.StoreResult<store.Vm[]> {
     return this.connection.send({ method: 'GET', path: '/vms' }).andThen((answer) => {
--- a/packages/platform/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * Public entry of the platform package: clients of the table service, object store and VM list.
+ * Public entry of the storage package: clients of the table service, object store and VM list.
  */
 export {
   Condition,
@@ -15,4 +15,4 @@
   type VmList,
   type Write,
 } from './types/store';
-export { Platform } from './core/http-platform';
+export { Storage } from './core/http-storage';
--- a/packages/platform/src/utils/http.ts
+++ b/packages/storage/src/utils/http.ts
@@ -24,7 +24,7 @@
 const SERVICE_UNAVAILABLE = 503;
 
 /** Sends JSON requests to one service of the platform. */
-export class PlatformConnection {
+export class StorageConnection {
   private constructor(
     private readonly pool: undici.Pool,
     private readonly timeoutMs: number,
@@ -34,9 +34,9 @@
    * @param url base URL of the service, `http://IP:PORT`
    * @param timeoutMs longest wait for one answer, in milliseconds
    */
-  static create(url: string, timeoutMs: number): PlatformConnection {
+  static create(url: string, timeoutMs: number): StorageConnection {
     const options = { connections: 16, connect: { timeout: timeoutMs } };
-    return new PlatformConnection(new undici.Pool(url, options), timeoutMs);
+    return new StorageConnection(new undici.Pool(url, options), timeoutMs);
   }
 
   /** Sends a request; a status of 500 and above counts as unavailable. */
