Log each placement; take texts of a released job after its runs have stopped

A stopping gateway copied the id of the last event, then waited for a listing to end while the array of events went on growing, and stored both. Ruled out: the resume header (the replica went on from the event that was asked for).

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -15,6 +15,9 @@
   minifySyntax: true,
   legalComments: 'none',
   alias: Object.fromEntries(
-    packages.map((name) => [`@azureworks/${name}`, path.join(root, `packages/${name}/src/index.ts`)]),
+    packages.map((name) => [
+      `@azureworks/${name}`,
+      path.join(root, `packages/${name}/src/index.ts`),
+    ]),
   ),
 });
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default defineConfig([
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -24,11 +24,17 @@
     },
   },
   {
-    files: ['scripts/*.mjs', '*.mjs', '*.js'],
-    rules: { 'n/no-sync': 'off', 'no-console': 'off', 'n/no-process-exit': 'off' },
+    files: ['scripts/*.mjs', 'deploy/*.mjs', '*.mjs', '*.js'],
+    rules: {
+      'n/no-sync': 'off',
+      'no-console': 'off',
+      'n/no-process-exit': 'off',
+      // The tools of the build are declared once, for the whole workspace.
+      'import-x/no-extraneous-dependencies': 'off',
+    },
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       // Private helpers stand below the public parts that call them.
       '@typescript-eslint/no-use-before-define': ['error', { functions: false, classes: false }],
@@ -55,7 +61,12 @@
     },
   },
   {
-    files: ['packages/*/src/bin/*.ts', 'packages/standins/**/*.ts', 'packages/client/**/*.ts'],
+    files: [
+      'packages/*/src/bin/*.ts',
+      'platform/src/bin/*.ts',
+      'packages/standins/**/*.ts',
+      'packages/client/**/*.ts',
+    ],
     // Command lines read files before they do anything else, and end with an exit code.
     rules: {
       'n/no-sync': 'off',
@@ -70,7 +81,7 @@
     rules: { '@typescript-eslint/no-require-imports': 'off', 'func-names': 'off' },
   },
   {
-    files: ['packages/*/__tests__/**/*.ts'],
+    files: ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'],
     rules: {
       'n/no-sync': 'off',
       // The tools of tests are declared once, for the whole workspace.
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,11 +1,14 @@
 module.exports = {
   testEnvironment: 'node',
-  roots: ['<rootDir>/packages'],
+  roots: ['<rootDir>/packages', '<rootDir>/platform'],
   testMatch: ['**/__tests__/**/*.test.ts'],
   testTimeout: 120000,
   // Tests with processes of their own need the processors to themselves.
   maxWorkers: 1,
-  moduleNameMapper: { '^@azureworks/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts' },
+  moduleNameMapper: {
+    '^@azureworks/platform$': '<rootDir>/platform/src/index.ts',
+    '^@azureworks/([a-z]+)$': '<rootDir>/packages/$1/src/index.ts',
+  },
   transform: {
     '^.+\\.ts$': ['@swc/jest', { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' } }],
   },
--- a/packages/daemon/__tests__/support/local-system.ts
+++ b/packages/daemon/__tests__/support/local-system.ts
@@ -5,8 +5,8 @@
 import * as configuration from '@azureworks/configuration';
 import * as standins from '@azureworks/standins';
 import * as undici from 'undici';
-import type * as daemons from '../../src/core/daemon';
 import * as runtime from '@azureworks/runtime';
+import type * as daemons from '../../src/core/daemon';
 import * as tls from '../../src/core/tls';
 import * as entry from '../../src/entry/entry';
 import * as target from '../../src/target/target';
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -8,8 +8,8 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import polka from 'polka';
-import * as headers from '../types/headers';
 import type * as runtime from '@azureworks/runtime';
+import * as headers from '../types/headers';
 
 /** A request whose path matched a route. */
 export interface RoutedRequest extends http.IncomingMessage {
--- a/packages/daemon/src/core/observability.ts
+++ b/packages/daemon/src/core/observability.ts
@@ -2,8 +2,8 @@
  * The routes that every daemon has for those who watch it: `/metrics`, `/healthz` and `/readyz`.
  */
 import * as links from '@azureworks/links';
-import * as httpTask from './http-task';
 import type * as runtime from '@azureworks/runtime';
+import * as httpTask from './http-task';
 
 const OK = 200;
 const SERVICE_UNAVAILABLE = 503;
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -4,8 +4,8 @@
 import * as fs from 'node:fs';
 import type * as configuration from '@azureworks/configuration';
 import type * as links from '@azureworks/links';
-import type * as daemons from '../core/daemon';
 import * as runtime from '@azureworks/runtime';
+import type * as daemons from '../core/daemon';
 import * as observability from '../core/observability';
 import * as trainerApi from '../rollout/trainer-api';
 import * as pauses from '../utils/pause';
--- a/packages/daemon/src/rollout/weights-task.ts
+++ b/packages/daemon/src/rollout/weights-task.ts
@@ -7,8 +7,8 @@
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
 import * as storage from '@azureworks/storage';
-import * as leaseNames from '../core/lease-names';
 import type * as runtime from '@azureworks/runtime';
+import * as leaseNames from '../core/lease-names';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as knowledge from '../entry/knowledge';
 
--- a/packages/daemon/src/target/weights-task.ts
+++ b/packages/daemon/src/target/weights-task.ts
@@ -10,8 +10,8 @@
 import type * as links from '@azureworks/links';
 import type * as storage from '@azureworks/storage';
 import * as undici from 'undici';
-import * as leaseNames from '../core/lease-names';
 import * as runtime from '@azureworks/runtime';
+import * as leaseNames from '../core/lease-names';
 import type * as states from './target-state';
 import * as pauses from '../utils/pause';
 
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -5,10 +5,10 @@
  */
 import type * as http from 'node:http';
 import * as decisions from '@azureworks/decisions';
+import type * as runtime from '@azureworks/runtime';
 import * as body from '../core/body';
 import * as forwarders from '../core/forwarder';
 import * as httpTask from '../core/http-task';
-import type * as runtime from '@azureworks/runtime';
 import * as topics from '../core/topic';
 import * as headers from '../types/headers';
 import * as averages from '../utils/average';
--- a/packages/gateway/src/configuration/configuration-keeper.ts
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -82,10 +82,7 @@
     this.environment.log.warn('operator row ignored', { key, revision, reason: decoded.reason });
   }
 
-  private takeConfiguration(
-    configuration: configurations.Configuration,
-    row: stores.Row,
-  ): void {
+  private takeConfiguration(configuration: configurations.Configuration, row: stores.Row): void {
     if (this.configuration && configuration.version <= this.configuration.version) return;
     this.environment.log.change('configuration in force', {
       version: configuration.version,
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -23,9 +23,7 @@
 
   /** The route with the longest prefix that begins the path. */
   find(host: string, path: string): configurations.Route | undefined {
-    return this.byHost
-      .get(host.toLowerCase())
-      ?.find((route) => path.startsWith(route.pathPrefix));
+    return this.byHost.get(host.toLowerCase())?.find((route) => path.startsWith(route.pathPrefix));
   }
 }
 
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -19,7 +19,6 @@
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as replicas from '../types/replica';
-import type * as stores from '../types/store';
 import * as weightsTasks from '../weights/weights-task';
 
 /** What a gateway is built from: everything that knows the platform's formats and calls. */
@@ -54,6 +53,8 @@
 
   private readonly members: membershipTasks.MembershipTask;
 
+  private readonly takeover: takeoverTasks.TakeoverTask;
+
   private readonly tree: runtime.Supervisor;
 
   private isStopping = false;
@@ -93,7 +94,7 @@
       environment,
       store: this.store,
       failureDomains: parts.failureDomains,
-      changed: () => takeover.search(),
+      changed: () => this.takeover.search(),
     });
     this.jobs = jobServices.JobService.create({
       environment,
@@ -101,7 +102,7 @@
       runner,
       isTrusted: () => this.members.isTrusted,
     });
-    const takeover = takeoverTasks.TakeoverTask.create({
+    this.takeover = takeoverTasks.TakeoverTask.create({
       environment,
       store: jobStore,
       service: this.jobs,
@@ -138,9 +139,9 @@
     const tasks = [
       watch(parts.tables.operator, configuration),
       watch(parts.tables.replicas, directory),
-      watch(jobRecords.NOTICES_TABLE, takeover),
+      watch(jobRecords.NOTICES_TABLE, this.takeover),
       this.members,
-      takeover,
+      this.takeover,
       weights,
     ];
     this.tree = runtime.Supervisor.create('gateway', tasks, log);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -47,6 +47,12 @@
   type StreamReceiver,
   type WeightsOrder,
 } from './types/replica';
-export { type BatchJob, type Item, type ItemResult, ResultState, type ScoringCall } from './types/batch-job';
+export {
+  type BatchJob,
+  type Item,
+  type ItemResult,
+  ResultState,
+  type ScoringCall,
+} from './types/batch-job';
 export type { CallerRequest, Reply } from './types/exchange';
 export type { Answer, ResultsPage } from './jobs/job-service';
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -85,7 +85,7 @@
   toPartial(): records.PartialText {
     return {
       itemId: this.item.id,
-      events: this.events,
+      events: [...this.events],
       lastEvent: this.lastEvent ?? -1,
       versions: [...this.versions],
     };
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -177,6 +177,17 @@
     known: directories.KnownReplica,
   ): Promise<void> {
     const { environment, directory } = this.parts;
+    environment.log.change('item started', {
+      job: job.id,
+      item: entry.item.id,
+      group: entry.item.group,
+      replica: known.replica.id,
+      load: directory.getLoad(known),
+      version: directory.getVersion(known, entry.item.model),
+      expectedTokens: entry.item.expectedOutputTokens,
+      afterEvent: entry.lastEvent,
+      ageMs: Math.round(this.parts.storeNowMs() - job.head.submittedMs),
+    });
     const run = streamRuns.StreamRun.create({
       environment,
       directory,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -99,7 +99,8 @@
       return { isOk: true, value: undefined };
     }
     if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
-    if (outcome.status === stores.StoreStatus.NotDone) return fail('store-unavailable', STORE_RETRY_MS);
+    if (outcome.status === stores.StoreStatus.NotDone)
+      return fail('store-unavailable', STORE_RETRY_MS);
     this.followUnsettled(job);
     return fail('outcome-unknown');
   }
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -76,11 +76,14 @@
     for (const writes of batches) {
       const outcome = await this.settle({ conditions: [], writes, removals: [] }, undefined);
       if (outcome.status !== stores.StoreStatus.Done) {
-        return { outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' }, head };
+        return {
+          outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' },
+          head,
+        };
       }
     }
-    const marker = this.createHeadWrite(job.id, head);
-    const conditions = [{ ...this.locateHead(job.id), revision: 0 }];
+    const marker = createHeadWrite(job.id, head);
+    const conditions = [{ ...locateHead(job.id), revision: 0 }];
     const outcome = await this.settle(
       { conditions, writes: [marker, ...last], removals: [] },
       marker,
@@ -176,14 +179,14 @@
     }
     const listed = head.listed + count;
     const isFinished = listed === head.total;
-    const removals = isFinished ? [this.locateOpen(id)] : [];
+    const removals = isFinished ? [locateOpen(id)] : [];
     return this.change(id, state, { listed, isFinished }, writes, removals);
   }
 
   /** Ends a job; nothing is listed afterwards. */
   end(id: string, state: HeadState): Promise<ChangeOutcome> {
     const notice = createNotice(id, records.Notice.Ended);
-    return this.change(id, state, { isEnded: true }, [notice], [this.locateOpen(id)]);
+    return this.change(id, state, { isEnded: true }, [notice], [locateOpen(id)]);
   }
 
   /** Gives a job back so that another gateway goes on with it. */
@@ -208,8 +211,8 @@
     removals: readonly stores.RowAddress[],
   ): Promise<ChangeOutcome> {
     const head = { ...state.head, ...change, writeId: this.createWriteId() };
-    const marker = this.createHeadWrite(id, head);
-    const conditions = [{ ...this.locateHead(id), revision: state.revision }];
+    const marker = createHeadWrite(id, head);
+    const conditions = [{ ...locateHead(id), revision: state.revision }];
     const transaction = { conditions, writes: [marker, ...writes], removals };
     const outcome = await this.settle(transaction, marker);
     if (outcome.status !== stores.StoreStatus.Done) return { status: outcome.status };
@@ -222,7 +225,7 @@
   ): Promise<stores.TransactionOutcome> {
     const { nowMs, pause, random } = this.environment;
     const options = { limitMs: CHANGE_LIMIT_MS, nowMs, pause, random };
-    const fallback = transaction.writes[0] as stores.RowWrite;
+    const fallback = transaction.writes[0];
     return settled.settleTransaction(this.store, transaction, marker ?? fallback, options);
   }
 
@@ -234,18 +237,6 @@
     this.writes += 1;
     return `${this.environment.incarnation}.${this.writes}`;
   }
-
-  private createHeadWrite(id: string, head: records.JobHead): stores.RowWrite {
-    return { ...this.locateHead(id), value: records.encodeValue(head) };
-  }
-
-  private locateHead(id: string): stores.RowAddress {
-    return { table: records.JOBS_TABLE, partition: id, key: records.HEAD_KEY };
-  }
-
-  private locateOpen(id: string): stores.RowAddress {
-    return { table: records.OPEN_TABLE, partition: id, key: records.OPEN_KEY };
-  }
 }
 
 /** The outcome of a change of a job. */
@@ -253,6 +244,18 @@
   | { readonly status: typeof stores.StoreStatus.Done; readonly state: HeadState }
   | { readonly status: Exclude<stores.TransactionOutcome['status'], 'done'> };
 
+function locateHead(id: string): stores.RowAddress {
+  return { table: records.JOBS_TABLE, partition: id, key: records.HEAD_KEY };
+}
+
+function createHeadWrite(id: string, head: records.JobHead): stores.RowWrite {
+  return { ...locateHead(id), value: records.encodeValue(head) };
+}
+
+function locateOpen(id: string): stores.RowAddress {
+  return { table: records.OPEN_TABLE, partition: id, key: records.OPEN_KEY };
+}
+
 function createNotice(id: string, notice: records.Notice): stores.RowWrite {
   return {
     table: records.NOTICES_TABLE,
@@ -267,7 +270,7 @@
   const parts: stores.RowWrite[][] = [[]];
   let bytes = 0;
   rows.forEach((row) => {
-    const part = parts[parts.length - 1] as stores.RowWrite[];
+    const part = parts[parts.length - 1];
     bytes += row.value.length;
     if (part.length > 0 && (bytes > TRANSACTION_BYTES || part.length >= TRANSACTION_ROWS)) {
       parts.push([row]);
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -98,7 +98,10 @@
 
   /** The groups of the job. */
   listGroups(carried: ReadonlySet<string>): groupOrder.GroupProgress[] {
-    const groups = new Map<string, { unfinished: number; longestTokens: number; isCarried: boolean }>();
+    const groups = new Map<
+      string,
+      { unfinished: number; longestTokens: number; isCarried: boolean }
+    >();
     this.items.forEach((entry) => {
       const name = entry.item.group;
       const group = groups.get(name) ?? { unfinished: 0, longestTokens: 0, isCarried: false };
@@ -130,13 +133,14 @@
   /** Resolves when a result is listed or the job closes, or after `waitMs`. */
   waitForResult(waitMs: number, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
       const finish = (): void => {
         clearTimeout(timer);
         this.readers.delete(finish);
         signal.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, waitMs);
+      timer = setTimeout(finish, waitMs);
       this.readers.add(finish);
       signal.addEventListener('abort', finish, { once: true });
     });
@@ -149,12 +153,13 @@
 
   /** Gives the job back, with the texts that are not whole yet. */
   async release(): Promise<void> {
-    const partials = this.listItems(progress.ItemPhase.Running, progress.ItemPhase.Waiting)
-      .filter((entry) => entry.events.length > 0)
-      .map((entry) => ({ index: entry.index, text: entry.toPartial() }));
     while (this.isListing) await this.parts.environment.pause(LISTING_PAUSE_MS / 10);
     if (!this.isOpen) return;
     this.close(JobClosing.Released);
+    // Taken after the runs were stopped: a text must not grow between its parts being read.
+    const partials = this.listItems(progress.ItemPhase.Running, progress.ItemPhase.Waiting)
+      .filter((entry) => entry.events.length > 0)
+      .map((entry) => ({ index: entry.index, text: entry.toPartial() }));
     const outcome = await this.parts.store.release(this.id, this.state, partials);
     this.parts.environment.log.change('job released', {
       job: this.id,
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -100,7 +100,10 @@
     if (this.isStopped) return;
     const regularMs = INTERVAL_MS + INTERVAL_A_MEMBER_MS * this.view.listLive().length;
     const delayMs = isRenewed && isRead ? regularMs : RETRY_MS;
-    this.timer = setTimeout(() => this.run(), delayMs * (0.9 + 0.2 * this.parts.environment.random()));
+    this.timer = setTimeout(
+      () => this.run(),
+      delayMs * (0.9 + 0.2 * this.parts.environment.random()),
+    );
   }
 
   private async renew(): Promise<boolean> {
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -18,7 +18,11 @@
   readonly nowMs: () => number;
   /** Chooses a replica other than those tried. */
   readonly choose: (tried: ReadonlySet<string>) => directories.KnownReplica | undefined;
-  readonly note: (known: directories.KnownReplica, outcome: replicas.CallOutcome, tookMs: number) => void;
+  readonly note: (
+    known: directories.KnownReplica,
+    outcome: replicas.CallOutcome,
+    tookMs: number,
+  ) => void;
 }
 
 /** The terms of a call. */
@@ -65,7 +69,7 @@
 
   private end: NodeJS.Timeout | undefined;
 
-  private finish: (end: PlainCallEnd) => void = () => {};
+  private finish: ((end: PlainCallEnd) => void) | undefined;
 
   private isFinished = false;
 
@@ -176,7 +180,7 @@
     this.terms.signal.removeEventListener('abort', this.leave);
     this.running.forEach((abort) => abort.abort());
     const { failedAnswers } = this;
-    this.finish({ reply, attempts: this.tried.size, failedAnswers });
+    this.finish?.({ reply, attempts: this.tried.size, failedAnswers });
   }
 }
 
@@ -185,4 +189,3 @@
 function isPromise(status: number): boolean {
   return REFUSAL_STATUSES.has(status);
 }
-
--- a/packages/gateway/src/store/settled-transaction.ts
+++ b/packages/gateway/src/store/settled-transaction.ts
@@ -50,10 +50,7 @@
   }
 }
 
-function findMarker(
-  rows: readonly stores.Row[],
-  marker: stores.RowWrite,
-): stores.Row | undefined {
+function findMarker(rows: readonly stores.Row[], marker: stores.RowWrite): stores.Row | undefined {
   return rows.find(
     (row) => row.table === marker.table && row.key === marker.key && row.value.equals(marker.value),
   );
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -97,7 +97,10 @@
           return version === undefined ? [] : [{ model, version }];
         });
         const known = directory.list(service.name);
-        const orders = weightsPlan.planOrders(known.map((entry) => this.describe(entry)), named);
+        const orders = weightsPlan.planOrders(
+          known.map((entry) => this.describe(entry)),
+          named,
+        );
         orders.forEach((order) => this.give(order, fence));
       });
   }
@@ -238,9 +241,12 @@
     const isHolder = this.getFence() !== undefined;
     if (isHolder !== this.wasHolder) {
       this.wasHolder = isHolder;
-      this.parts.environment.log.change(isHolder ? 'lease of orders taken' : 'lease of orders lost', {
-        fence: this.lease.fence,
-      });
+      this.parts.environment.log.change(
+        isHolder ? 'lease of orders taken' : 'lease of orders lost',
+        {
+          fence: this.lease.fence,
+        },
+      );
     }
     if (isHolder) this.planOrders();
     const stepMs = this.parts.leaseMs / STEPS_A_LEASE;
