--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -166,9 +166,13 @@
     this.jobs.prepareStop();
   }
 
-  /** Gives everything back that others can go on with. */
+  /** Gives the jobs back, so that others go on with them; requests are still answered. */
+  release(): Promise<void> {
+    return this.jobs.releaseAll();
+  }
+
+  /** Ends all tasks. */
   async stop(): Promise<void> {
-    await this.jobs.releaseAll();
     await this.tree.stop();
     this.store.close();
   }
--- a/packages/gateway/src/jobs/group-order.ts
+++ b/packages/gateway/src/jobs/group-order.ts
@@ -2,21 +2,23 @@
  * In which order the waiting items of batch jobs are started.
  *
  * Load pattern: several trainers submit steps of groups at nearly the same time, more items than
- * the engines run at once. A step is worth something when enough of its groups are whole in time,
- * so the order is decided by group, not by item:
+ * the engines run at once, a few of them many times as long as the others. A step is worth
+ * something when enough of its groups are whole in time, and the next step begins when it is, so:
  *
- * - jobs whose time has not passed come first, the one that is due soonest in front;
- * - within a job, groups that the trainer certainly waits for come first, then groups that are
- *   nearly whole, then the shorter ones; the longest groups beyond those wanted come last;
- * - within a group, the items that are expected to take longest start first.
+ * - groups that the trainer waits for come before those beyond the number it wants, which are the
+ *   longest ones; groups that were left over from an earlier job are always waited for;
+ * - among the items of wanted groups, the one with the least slack starts first: the time that is
+ *   left until its job is due, less the time that it is expected to take. Long items thus start
+ *   early, where they would otherwise hold up their step at its end;
+ * - items whose job can no longer be in time come after those that can.
  */
 
 /** A waiting item. */
 export interface WaitingItem {
   readonly id: string;
   readonly group: string;
-  /** Expected output tokens that are still to be made. */
-  readonly expectedTokens: number;
+  /** Expected time that it still takes, in milliseconds. */
+  readonly expectedMs: number;
 }
 
 /** The state of a group. */
@@ -24,8 +26,8 @@
   readonly name: string;
   /** Items that are neither listed nor about to be. */
   readonly unfinished: number;
-  /** Expected output tokens of its longest unfinished item. */
-  readonly longestTokens: number;
+  /** Expected time that its longest unfinished item still takes, in milliseconds. */
+  readonly longestMs: number;
   /** Whether it was left over from an earlier job, so that the trainer waits for it. */
   readonly isCarried: boolean;
 }
@@ -49,43 +51,50 @@
   readonly itemId: string;
   /** Whether the trainer probably waits for the item's group. */
   readonly isWanted: boolean;
+  /** Milliseconds left when the item starts now and takes as long as expected. */
+  readonly slackMs: number;
 }
 
 /** Orders the waiting items of all jobs, first to start in front. */
 export function orderItems(jobs: readonly WaitingJob[], nowMs: number): OrderedItem[] {
-  const ordered = jobs.map((job) => ({ job, items: orderJob(job) }));
-  ordered.sort((first, second) => compareJobs(first.job, second.job, nowMs));
-  // Items beyond the wanted groups of a job wait for the wanted ones of all jobs.
-  const wanted = ordered.flatMap(({ items }) => items.filter((item) => item.isWanted));
-  const others = ordered.flatMap(({ items }) => items.filter((item) => !item.isWanted));
-  return [...wanted, ...others];
+  const ranked = jobs.flatMap((job) => rankJob(job, nowMs));
+  ranked.sort(
+    (first, second) =>
+      Number(second.isWanted) - Number(first.isWanted) ||
+      Number(first.isLate) - Number(second.isLate) ||
+      first.slackMs - second.slackMs ||
+      first.priority - second.priority,
+  );
+  return ranked;
 }
 
-function compareJobs(first: WaitingJob, second: WaitingJob, nowMs: number): number {
-  const isFirstLate = first.dueMs <= nowMs;
-  const isSecondLate = second.dueMs <= nowMs;
-  if (isFirstLate !== isSecondLate) return isFirstLate ? 1 : -1;
-  return first.dueMs - second.dueMs || first.priority - second.priority;
+interface RankedItem extends OrderedItem {
+  readonly isLate: boolean;
+  readonly priority: number;
 }
 
-function orderJob(job: WaitingJob): OrderedItem[] {
-  const open = job.groups.filter((group) => group.unfinished > 0).sort(compareGroups);
-  const missing = Math.max(0, job.wantedGroups - job.wholeGroups);
-  const ranks = new Map(open.map((group, rank) => [group.name, rank]));
-  const rankOf = (item: WaitingItem): number => ranks.get(item.group) ?? open.length;
-  return [...job.waiting]
-    .sort(
-      (first, second) =>
-        rankOf(first) - rankOf(second) || second.expectedTokens - first.expectedTokens,
-    )
-    .map((item) => ({
-      jobId: job.id,
-      itemId: item.id,
-      isWanted: rankOf(item) < missing,
-    }));
+function rankJob(job: WaitingJob, nowMs: number): RankedItem[] {
+  const wanted = new Set(chooseWanted(job));
+  const leftMs = job.dueMs - nowMs;
+  return job.waiting.map((item) => ({
+    jobId: job.id,
+    itemId: item.id,
+    isWanted: wanted.has(item.group),
+    isLate: leftMs <= 0,
+    slackMs: leftMs - item.expectedMs,
+    priority: job.priority,
+  }));
 }
 
-function compareGroups(first: GroupProgress, second: GroupProgress): number {
-  if (first.isCarried !== second.isCarried) return first.isCarried ? -1 : 1;
-  return first.longestTokens - second.longestTokens || first.unfinished - second.unfinished;
+/** The unfinished groups that are the quickest way to as many whole groups as are wanted. */
+function chooseWanted(job: WaitingJob): string[] {
+  const missing = Math.max(0, job.wantedGroups - job.wholeGroups);
+  const open = job.groups.filter((group) => group.unfinished > 0);
+  open.sort(
+    (first, second) =>
+      Number(second.isCarried) - Number(first.isCarried) ||
+      first.longestMs - second.longestMs ||
+      first.unfinished - second.unfinished,
+  );
+  return open.slice(0, missing).map((group) => group.name);
 }
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -22,6 +22,9 @@
   /** The data of the events made so far. */
   events: string[] = [];
 
+  /** How many of them are kept in the store. */
+  storedEvents = 0;
+
   /** The id of the last event; undefined before the first. */
   lastEvent: number | undefined;
 
@@ -67,6 +70,7 @@
   /** Forgets the text. */
   reset(): void {
     this.events = [];
+    this.storedEvents = 0;
     this.lastEvent = undefined;
     this.versions.clear();
     this.isTextWhole = false;
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -35,6 +35,8 @@
 const REVIEW_MS = 200;
 /** An item is moved when its replica takes this many times as long as others for an event. */
 const SLOW_FACTOR = 2;
+/** Milliseconds an event takes where nothing is known yet. */
+const ORDINARY_EVENT_MS = 40;
 /** Events of a run after which its speed counts. */
 const JUDGED_EVENTS = 4;
 
@@ -103,7 +105,7 @@
     const waiting = job.listItems(progress.ItemPhase.Waiting);
     const route = this.findRoute(job);
     if (!route || waiting.length === 0) return undefined;
-    const groups = job.listGroups(this.carried);
+    const groups = job.listGroups(this.carried, (entry) => this.expectMs(entry, route));
     return {
       id: job.id,
       dueMs: this.toMonotonic(job.head.submittedMs + route.resultsDueMs),
@@ -111,14 +113,29 @@
       wantedGroups: job.head.wantedGroups,
       wholeGroups: groups.filter((group) => group.unfinished === 0).length,
       groups,
-      waiting: waiting.map(({ item }) => ({
-        id: item.id,
-        group: item.group,
-        expectedTokens: item.expectedOutputTokens ?? 0,
+      waiting: waiting.map((entry) => ({
+        id: entry.item.id,
+        group: entry.item.group,
+        expectedMs: this.expectMs(entry, route),
       })),
     };
   }
 
+  /** How long an item probably still takes: what the caller estimated, less what is there. */
+  private expectMs(entry: progress.ItemProgress, route: configurations.Route): number {
+    const tokens = entry.item.expectedOutputTokens ?? 0;
+    const { current } = this.parts.configuration;
+    const service = current?.services.get(route.services[0]?.service ?? '');
+    const events = tokens / Math.max(1, service?.tokensAnEvent ?? 1);
+    const eventMs = this.typicalEventMs(service?.name ?? '');
+    return Math.max(0, events - entry.events.length) * eventMs;
+  }
+
+  private typicalEventMs(service: string): number {
+    const paces = this.parts.directory.list(service).flatMap((known) => known.pace.unitMs ?? []);
+    return placement.findMedian(paces) ?? ORDINARY_EVENT_MS;
+  }
+
   private toMonotonic(storeMs: number): number {
     return storeMs - this.parts.storeNowMs() + this.parts.environment.nowMs();
   }
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -212,8 +212,12 @@
     job.items.forEach((entry) => {
       if (this.texts.adopt(entry, job.head.oldestVersion)) runner.noteCarried(entry.item.id);
     });
-    if (job.head.listed === job.head.total) job.close(ownedJobs.JobClosing.Finished);
-    else runner.add(job);
+    if (job.head.listed === job.head.total) {
+      job.close(ownedJobs.JobClosing.Finished);
+      return;
+    }
+    job.keepCheckpoints();
+    runner.add(job);
   }
 
   private forgetSoon(job: ownedJobs.OwnedJob): void {
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -193,14 +193,23 @@
   release(
     id: string,
     state: HeadState,
-    partials: readonly { readonly index: number; readonly text: records.PartialText }[],
+    partials: readonly IndexedPartial[],
   ): Promise<ChangeOutcome> {
-    const rows = partials.flatMap(({ index, text }) =>
-      records.createPositionRows(records.PARTIALS_TABLE, id, index, text),
-    );
-    const fitting = splitRows(rows)[0] ?? [];
     const notice = createNotice(id, records.Notice.Released);
-    return this.change(id, state, { owner: null }, [...fitting, notice], []);
+    const rows = createPartialRows(id, partials);
+    return this.change(id, state, { owner: null }, [...rows, notice], []);
+  }
+
+  /**
+   * Keeps texts under way. The write has no condition: whoever wrote it last, the text of an item
+   * is one that replicas have made.
+   */
+  keepPartials(
+    id: string,
+    partials: readonly IndexedPartial[],
+  ): Promise<stores.TransactionOutcome> {
+    const writes = createPartialRows(id, partials);
+    return this.store.transact({ conditions: [], writes, removals: [] });
   }
 
   private async change(
@@ -256,6 +265,21 @@
   return { table: records.OPEN_TABLE, partition: id, key: records.OPEN_KEY };
 }
 
+/** A text under way, with the index of its item. */
+export interface IndexedPartial {
+  readonly index: number;
+  readonly text: records.PartialText;
+}
+
+/** The rows of the texts that fit one transaction; a text that needs several rows is left out. */
+function createPartialRows(id: string, partials: readonly IndexedPartial[]): stores.RowWrite[] {
+  const rows = partials
+    .map(({ index, text }) => records.createPositionRows(records.PARTIALS_TABLE, id, index, text))
+    .filter((parts) => parts.length === 1)
+    .flat();
+  return splitRows(rows)[0] ?? [];
+}
+
 function createNotice(id: string, notice: records.Notice): stores.RowWrite {
   return {
     table: records.NOTICES_TABLE,
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -9,6 +9,7 @@
 import * as stores from '../types/store';
 import type * as groupOrder from './group-order';
 import * as progress from './item-progress';
+import type * as records from './job-record';
 import type * as jobStores from './job-store';
 import * as jobStore from './job-store';
 
@@ -41,6 +42,9 @@
   readonly results: readonly jobs.ItemResult[];
 }
 
+/** How often texts under way are kept, and how many new events make it worth while. */
+const CHECKPOINT_MS = 1000;
+const CHECKPOINT_EVENTS = 12;
 /** The pause after a listing that the store did not take, in milliseconds. */
 const LISTING_PAUSE_MS = 150;
 
@@ -60,6 +64,8 @@
 
   private isListing = false;
 
+  private checkpointTimer: NodeJS.Timeout | undefined;
+
   private readonly readers = new Set<() => void>();
 
   private constructor(
@@ -97,19 +103,19 @@
   }
 
   /** The groups of the job. */
-  listGroups(carried: ReadonlySet<string>): groupOrder.GroupProgress[] {
-    const groups = new Map<
-      string,
-      { unfinished: number; longestTokens: number; isCarried: boolean }
-    >();
+  listGroups(
+    carried: ReadonlySet<string>,
+    expectMs: (entry: progress.ItemProgress) => number,
+  ): groupOrder.GroupProgress[] {
+    const groups = new Map<string, { unfinished: number; longestMs: number; isCarried: boolean }>();
     this.items.forEach((entry) => {
       const name = entry.item.group;
-      const group = groups.get(name) ?? { unfinished: 0, longestTokens: 0, isCarried: false };
+      const group = groups.get(name) ?? { unfinished: 0, longestMs: 0, isCarried: false };
       groups.set(name, group);
       if (carried.has(entry.item.id)) group.isCarried = true;
       if (entry.phase === progress.ItemPhase.Done) return;
       group.unfinished += 1;
-      group.longestTokens = Math.max(group.longestTokens, entry.item.expectedOutputTokens ?? 0);
+      group.longestMs = Math.max(group.longestMs, expectMs(entry));
     });
     return [...groups].map(([name, group]) => ({ name, ...group }));
   }
@@ -157,9 +163,7 @@
     if (!this.isOpen) return;
     this.close(JobClosing.Released);
     // Taken after the runs were stopped: a text must not grow between its parts being read.
-    const partials = this.listItems(progress.ItemPhase.Running, progress.ItemPhase.Waiting)
-      .filter((entry) => entry.events.length > 0)
-      .map((entry) => ({ index: entry.index, text: entry.toPartial() }));
+    const partials = this.listPartials(1);
     const outcome = await this.parts.store.release(this.id, this.state, partials);
     this.parts.environment.log.change('job released', {
       job: this.id,
@@ -168,10 +172,16 @@
     });
   }
 
+  /** Keeps the texts under way in the store, again and again, until the job is closed. */
+  keepCheckpoints(): void {
+    this.checkpointTimer = setInterval(() => this.checkpoint(), CHECKPOINT_MS);
+  }
+
   /** Stops running the job here. */
   close(closing: JobClosing): void {
     if (!this.isOpen) return;
     this.closing = closing;
+    clearInterval(this.checkpointTimer);
     this.items.forEach((entry) => entry.abort?.abort());
     this.parts.environment.log.change('job closed', {
       job: this.id,
@@ -184,6 +194,25 @@
     this.parts.closed(this, closing);
   }
 
+  /** Texts with at least so many events that are not in the store. */
+  private listPartials(
+    fewestEvents: number,
+  ): { readonly index: number; readonly text: records.PartialText }[] {
+    return this.listItems(progress.ItemPhase.Running, progress.ItemPhase.Waiting)
+      .filter((entry) => entry.events.length - entry.storedEvents >= fewestEvents)
+      .map((entry) => {
+        entry.storedEvents = entry.events.length;
+        return { index: entry.index, text: entry.toPartial() };
+      });
+  }
+
+  private async checkpoint(): Promise<void> {
+    const partials = this.listPartials(CHECKPOINT_EVENTS);
+    if (partials.length === 0) return;
+    const outcome = await this.parts.store.keepPartials(this.id, partials);
+    this.parts.environment.metrics.count('checkpoints', { outcome: outcome.status });
+  }
+
   private async list(): Promise<void> {
     this.isListing = true;
     while (this.isOpen && this.ready.length > 0) {
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -157,12 +157,25 @@
     return { kind: status >= FIRST_SERVER_ERROR ? 'failed-answer' : 'broken' };
   }
 
+  private judgeReplica(outcome: replicas.StreamOutcome, nowMs: number): void {
+    const { known, environment } = this.parts;
+    if (outcome.status === replicas.CallStatus.Answered) return;
+    const isSilent = outcome.isSilent === true;
+    if (outcome.status !== replicas.CallStatus.Broken && !isSilent) return;
+    if (!known.pace.noteFailure(nowMs, isSilent)) return;
+    environment.log.change('replica avoided', {
+      replica: known.replica.id,
+      reason: outcome.reason,
+      isSilent,
+    });
+  }
+
   private note(outcome: replicas.StreamOutcome, end: StreamRunEnd): void {
     const { entry, known, environment, terms } = this.parts;
     const nowMs = environment.nowMs();
     const isAnswered = outcome.status === replicas.CallStatus.Answered;
     if (end.kind === 'whole') known.pace.noteSuccess();
-    if (outcome.status === replicas.CallStatus.Broken) known.pace.noteFailure(nowMs);
+    this.judgeReplica(outcome, nowMs);
     environment.metrics.record('run', { end: end.kind }, nowMs - entry.startedMs);
     if (end.kind === 'whole') return;
     environment.log.change('run ended early', {
--- a/packages/gateway/src/replicas/pace.ts
+++ b/packages/gateway/src/replicas/pace.ts
@@ -48,10 +48,13 @@
     this.avoidances = 0;
   }
 
-  /** Notes a failure of the replica; returns whether it is left alone from now on. */
-  noteFailure(nowMs: number): boolean {
+  /**
+   * Notes a failure of the replica; returns whether it is left alone from now on.
+   * @param isSilent whether it gave no sign of life, which one failure proves
+   */
+  noteFailure(nowMs: number, isSilent: boolean): boolean {
     this.failures += 1;
-    if (this.failures < FAILURES_TO_AVOID) return false;
+    if (!isSilent && this.failures < FAILURES_TO_AVOID) return false;
     return this.avoid(nowMs);
   }
 
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -146,8 +146,9 @@
       return;
     }
     if (outcome.status === replicas.CallStatus.Cancelled) return;
-    const isAvoided =
-      outcome.status !== replicas.CallStatus.NotRun && known.pace.noteFailure(environment.nowMs());
+    const isSilent = outcome.isSilent === true;
+    const isFailure = outcome.status !== replicas.CallStatus.NotRun || isSilent;
+    const isAvoided = isFailure && known.pace.noteFailure(environment.nowMs(), isSilent);
     environment.log.change('call failed', {
       request: requestId,
       replica: id,
--- a/packages/gateway/src/types/configuration.ts
+++ b/packages/gateway/src/types/configuration.ts
@@ -54,6 +54,8 @@
   readonly engineSlots: number | undefined;
   /** Tokens that one replica's memory holds; undefined for plain services. */
   readonly engineTokens: number | undefined;
+  /** Output tokens that one event of a stream holds; 1 where the engine does not tell. */
+  readonly tokensAnEvent: number;
   /** The models that its engines serve. */
   readonly models: readonly string[];
 }
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -82,6 +82,8 @@
       readonly status: Exclude<CallStatus, typeof CallStatus.Answered>;
       readonly reason: string;
       readonly load?: ReplicaLoad | undefined;
+      /** Whether the replica gave no sign of life: no connection, or nothing for too long. */
+      readonly isSilent?: boolean;
     };
 
 /** An event of a stream. */
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -61,9 +61,11 @@
 
   private wasHolder = false;
 
+  private hasHeld = false;
+
   private constructor(private readonly parts: WeightsParts) {
-    const { vm, incarnation, nowMs, wallMs } = parts.environment;
-    this.lease = decisions.Lease.create(`${vm}#${incarnation}`, parts.leaseMs, { nowMs });
+    const { vm, nowMs, wallMs } = parts.environment;
+    this.lease = decisions.Lease.create(vm, parts.leaseMs, { nowMs });
     this.suspension = suspensions.Suspension.create(nowMs, wallMs);
   }
 
@@ -112,7 +114,7 @@
       id: known.replica.id,
       versions: new Map(models.map((model) => [model, directory.getVersion(known, model) ?? 0])),
       load: directory.getLoad(known),
-      isLoading: this.loading.has(known.replica.id),
+      loading: this.loading.get(known.replica.id)?.order,
     };
   }
 
@@ -260,7 +262,7 @@
     const read = await store.read({ table: LEASE.table, partition: LEASE.partition });
     if (read.status !== stores.StoreStatus.Done || this.isStopped) return;
     const current = read.rows.find((row) => row.key === LEASE.key);
-    const step = this.lease.plan(current && decodeLease(current));
+    const step = this.planLease(current && decodeLease(current));
     if (step.kind === 'wait') return;
     this.suspension.look();
     const sentMs = environment.nowMs();
@@ -270,8 +272,19 @@
       removals: [],
     });
     if (outcome.status !== stores.StoreStatus.Done || this.suspension.look()) return;
+    this.hasHeld = true;
     this.lease.noteWritten(step.row, sentMs);
   }
+
+  /**
+   * The former process on this VM is gone for certain, so its lease need not lapse first; the
+   * fence grows all the same, to tell its late orders from new ones.
+   */
+  private planLease(row: decisions.LeaseRow | undefined): decisions.LeaseStep {
+    const step = this.lease.plan(row);
+    if (this.hasHeld || step.kind === 'wait' || !row || step.row.fence > row.fence) return step;
+    return { kind: 'write', row: { ...step.row, fence: row.fence + 1, renewal: 0 } };
+  }
 }
 
 function decodeLease(row: stores.Row): decisions.LeaseRow | undefined {
