--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -9,14 +9,8 @@
 
 /** The table of the members' rows; each failure domain is a partition of its own. */
 const MEMBERS_TABLE = 'members';
-/** How often the own row is renewed and the others are read; a third of the lapse time. */
-const INTERVAL_MS = 1000;
-/** Each member adds this to the interval, so that many of them stay within the store's rates. */
-const INTERVAL_A_MEMBER_MS = 8;
 /** After a failure the row is renewed sooner, in milliseconds. */
 const RETRY_MS = 250;
-/** For how long a renewal is trusted, in milliseconds; others wait for the whole lapse time. */
-const TRUSTED_MS = 2200;
 
 /** What the task needs. */
 export interface MembershipParts {
@@ -98,8 +92,7 @@
     const isRenewed = await this.renew();
     const isRead = await this.readAll();
     if (this.isStopped) return;
-    const regularMs = INTERVAL_MS + INTERVAL_A_MEMBER_MS * this.view.listLive().length;
-    const delayMs = isRenewed && isRead ? regularMs : RETRY_MS;
+    const delayMs = isRenewed && isRead ? this.view.intervalMs : RETRY_MS;
     this.timer = setTimeout(
       () => this.run(),
       delayMs * (0.9 + 0.2 * this.parts.environment.random()),
@@ -115,7 +108,7 @@
     const write = { ...this.address, value };
     const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
     if (outcome.status !== stores.StoreStatus.Done) return false;
-    if (!this.suspension.look()) this.trustedUntilMs = sentMs + TRUSTED_MS;
+    if (!this.suspension.look()) this.trustedUntilMs = sentMs + this.view.trustedMs;
     return true;
   }
 
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -16,10 +16,16 @@
   readonly revision: number;
 }
 
-/** How long a row may stay unchanged, in milliseconds; three renewals. */
-export const LAPSE_MS = 3000;
-/** Two reads further apart than this leave a gap that counts for nobody, in milliseconds. */
-const LONGEST_GAP_MS = 2000;
+/** How often a row is renewed and the others are read, in milliseconds. */
+const INTERVAL_MS = 500;
+/** Each member adds this to the interval, so that many of them stay within the store's rates. */
+const INTERVAL_A_MEMBER_MS = 8;
+/** Intervals after which an unchanged row has lapsed: two renewals may be lost. */
+const LAPSE_INTERVALS = 3.2;
+/** Intervals for which a member trusts its own renewal, counted from before it was sent. */
+const TRUSTED_INTERVALS = 2;
+/** Two reads further apart than so many intervals leave a gap that counts for nobody. */
+const GAP_INTERVALS = 2.5;
 
 interface Seen {
   readonly record: MemberRecord;
@@ -36,9 +42,23 @@
     return new Membership();
   }
 
+  /** How often this member should renew its row. */
+  get intervalMs(): number {
+    return INTERVAL_MS + INTERVAL_A_MEMBER_MS * this.members.size;
+  }
+
+  /** For how long this member may trust a renewal. */
+  get trustedMs(): number {
+    return this.intervalMs * TRUSTED_INTERVALS;
+  }
+
+  private get lapseMs(): number {
+    return this.intervalMs * LAPSE_INTERVALS;
+  }
+
   /** Takes in all rows, as read at `nowMs`. */
   update(records: readonly MemberRecord[], nowMs: number): void {
-    const hasGap = nowMs - this.lastReadMs > LONGEST_GAP_MS;
+    const hasGap = nowMs - this.lastReadMs > this.intervalMs * GAP_INTERVALS;
     this.lastReadMs = nowMs;
     const former = new Map(this.members);
     this.members.clear();
@@ -53,7 +73,7 @@
   /** The members that live, as of the last read. */
   listLive(): MemberRecord[] {
     return [...this.members.values()]
-      .filter((seen) => this.lastReadMs - seen.changedMs < LAPSE_MS)
+      .filter((seen) => this.lastReadMs - seen.changedMs < this.lapseMs)
       .map((seen) => seen.record);
   }
 
@@ -62,6 +82,6 @@
     if (this.lastReadMs === -Infinity) return false;
     const seen = this.members.get(vm);
     if (!seen || seen.record.incarnation !== incarnation) return true;
-    return this.lastReadMs - seen.changedMs >= LAPSE_MS;
+    return this.lastReadMs - seen.changedMs >= this.lapseMs;
   }
 }
