--- /dev/null
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -0,0 +1,310 @@
+import type * as gateway from '@azureworks/gateway';
+import * as fakeReplicas from './support/fake-replicas';
+import * as systems from './support/small-system';
+import * as time from './support/virtual-time';
+
+const NEVER = new AbortController().signal;
+
+async function readAll(from: gateway.Gateway, id: string): Promise<readonly gateway.ItemResult[]> {
+  const answer = await from.jobs.read(id, 0, 0, NEVER);
+  if (!answer.isOk) throw new Error(answer.failure.message);
+  return answer.value.results;
+}
+
+async function settle<Value>(promise: Promise<Value>, limitMs = 10_000): Promise<Value> {
+  let isDone = false;
+  promise.finally(() => {
+    isDone = true;
+  });
+  for (let waitedMs = 0; !isDone && waitedMs < limitMs; waitedMs += 50) await time.pass(50);
+  return promise;
+}
+
+function expectWhole(results: readonly gateway.ItemResult[], job: gateway.BatchJob): void {
+  expect([...results.map((result) => result.itemId)].sort()).toEqual(
+    job.items.map((item) => item.id).sort(),
+  );
+  results.forEach((result) => {
+    expect(result.state).toBe('completed');
+    expect(result.text).toBe(fakeReplicas.createText(result.itemId, 10));
+    expect(result.score).toBe(`signature of score-${result.itemId}`);
+  });
+}
+
+describe('batch jobs', () => {
+  let system: systems.SmallSystem;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    system = systems.SmallSystem.create();
+    system.configure(systems.createConfiguration(1));
+    ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id));
+    ['p1', 'p2'].forEach((id) => system.addReplica(id, { isPlain: true }));
+  });
+
+  afterEach(async () => {
+    await system.stopAll();
+    jest.useRealTimers();
+  });
+
+  it('lists every item once, whole, labelled and scored, at every gateway', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 3, 4);
+    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    await time.pass(3000);
+    const results = await settle(readAll(first, 'job'));
+    expectWhole(results, job);
+    results.forEach((result) => expect(result.versions).toEqual([1]));
+    expect(await settle(readAll(second, 'job'))).toEqual(results);
+  });
+
+  it('accepts a job once, however often it is submitted and wherever', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 1, 2);
+    const answers = [first.jobs.submit(job), second.jobs.submit(job), first.jobs.submit(job)];
+    const ends = await settle(Promise.all(answers));
+    expect(ends.map((end) => end.isOk)).toEqual([true, true, true]);
+    await time.pass(2000);
+    expect(system.replicas.runs).toHaveLength(2);
+  });
+
+  it('accepts a job whose first write lost its answer, and runs it once', async () => {
+    const first = await system.start('vm-1');
+    system.store.faults.loseAnswers = 1;
+    const job = systems.createJob('job', 1, 2);
+    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    await time.pass(2000);
+    expectWhole(await settle(readAll(first, 'job')), job);
+    expect(system.replicas.runs).toHaveLength(2);
+  });
+
+  it('refuses a job as not run only when nothing of it can be stored later', async () => {
+    const first = await system.start('vm-1');
+    system.store.faults.isRefusing = true;
+    const refused = await settle(first.jobs.submit(systems.createJob('refused', 1, 2)));
+    expect(refused).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
+    system.store.faults.isRefusing = false;
+    await time.pass(10_000);
+    expect(system.store.inspect('jobs')).toHaveLength(0);
+
+    system.store.faults.applyLate = 1000;
+    system.store.faults.lateMs = 20_000;
+    const unknown = await settle(first.jobs.submit(systems.createJob('unknown', 1, 2)));
+    expect(unknown).toMatchObject({ isOk: false, failure: { code: 'outcome-unknown' } });
+  });
+
+  it('runs a job whose write took effect after its caller had been told that nobody knows', async () => {
+    const first = await system.start('vm-1');
+    system.store.faults.applyLate = 1000;
+    system.store.faults.lateMs = 4000;
+    const job = systems.createJob('late', 1, 2);
+    const answer = await settle(first.jobs.submit(job));
+    expect(answer).toMatchObject({ isOk: false, failure: { code: 'outcome-unknown' } });
+    system.store.faults.applyLate = 0;
+    await time.pass(12_000);
+    expectWhole(await settle(readAll(first, 'late')), job);
+  });
+
+  it('goes on from the texts that a stopping gateway left, without a piece twice', async () => {
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 3);
+    await settle(first.jobs.submit(job));
+    // One result is being listed slowly while the other texts are still growing.
+    system.replicas.lengths.set('job-0', 3);
+    const second = await system.start('vm-2');
+    system.store.faults.slowMs = 60;
+    first.prepareStop();
+    const released = first.release();
+    await settle(released);
+    system.store.faults.slowMs = 0;
+    system.replicas.lengths.delete('job-0');
+    await settle(first.stop());
+    await time.pass(3000);
+    const results = await settle(readAll(second, 'job'));
+    results
+      .filter((result) => result.itemId !== 'job-0')
+      .forEach((result) => {
+        expect(result.text).toBe(fakeReplicas.createText(result.itemId, 10));
+      });
+    expect(system.replicas.runs.some((run) => run.afterEvent !== undefined)).toBe(true);
+  });
+
+  it('goes on from the kept texts when the gateway dies', async () => {
+    const reach = { isCut: false, isAlone: false };
+    const first = await system.start('vm-1', 'vm-1-first', reach);
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 1, 2);
+    job.items.forEach((item) => system.replicas.lengths.set(item.id, 200));
+    await settle(first.jobs.submit(job));
+    await time.pass(2500);
+    reach.isAlone = true;
+    const before = system.replicas.runs.length;
+    await time.pass(4500);
+    const later = system.replicas.runs.slice(before);
+    expect(later.length).toBeGreaterThanOrEqual(2);
+    later.forEach((run) => expect(run.afterEvent).toBeGreaterThan(40));
+    await time.pass(5000);
+    const results = await settle(readAll(second, 'job'));
+    results.forEach((result) => {
+      expect(result.text).toBe(fakeReplicas.createText(result.itemId, 200));
+    });
+    expect(results).toHaveLength(2);
+  });
+
+  it('takes the jobs of its own former process over at once', async () => {
+    const reach = { isCut: false, isAlone: false };
+    const former = await system.start('vm-1', 'vm-1-first', reach);
+    const job = systems.createJob('job', 1, 2);
+    job.items.forEach((item) => system.replicas.lengths.set(item.id, 100));
+    await settle(former.jobs.submit(job));
+    await time.pass(200);
+    reach.isAlone = true;
+    await system.start('vm-1', 'vm-1-second');
+    await time.pass(300);
+    const owner = JSON.parse(
+      system.store
+        .inspect('jobs')
+        .find((row) => row.key === 'head')
+        ?.value.toString() ?? '{}',
+    ) as { readonly owner: { readonly incarnation: string } };
+    expect(owner.owner.incarnation).toBe('vm-1-second');
+  });
+
+  it('lists results through a peer when the store turns its VM away', async () => {
+    const reach = { isCut: false };
+    const first = await system.start('vm-1', 'vm-1-first', reach);
+    await system.start('vm-2');
+    await time.pass(1500);
+    reach.isCut = true;
+    const job = systems.createJob('job', 1, 4);
+    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    await time.pass(5000);
+    expect(first.jobs.openCount).toBe(0);
+    expectWhole(await settle(readAll(first, 'job')), job);
+    expect(system.replicas.runs).toHaveLength(4);
+  });
+
+  it('keeps positions when two gateways believe that they run the job', async () => {
+    const reach = { isCut: false, isAlone: false };
+    const first = await system.start('vm-1', 'vm-1-first', reach);
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 2, 4);
+    job.items.forEach((item, index) => system.replicas.lengths.set(item.id, 20 + index * 20));
+    await settle(first.jobs.submit(job));
+    await time.pass(900);
+    const early = await settle(readAll(first, 'job'));
+    expect(early.length).toBeGreaterThan(0);
+    reach.isAlone = true;
+    await time.pass(3000);
+    reach.isAlone = false;
+    await time.pass(12_000);
+    const results = await settle(readAll(second, 'job'));
+    expect(results.slice(0, early.length)).toEqual(early);
+    expect(new Set(results.map((result) => result.itemId)).size).toBe(8);
+    expect(results).toHaveLength(8);
+    expect(await settle(readAll(first, 'job'))).toEqual(results);
+  });
+
+  it('says that there is no such job only after the store was read', async () => {
+    const first = await system.start('vm-1');
+    const missing = await settle(first.jobs.read('nowhere', 0, 0, NEVER));
+    expect(missing).toMatchObject({ isOk: false, failure: { code: 'unknown-job' } });
+    system.store.faults.isRefusing = true;
+    const unsure = await settle(first.jobs.read('nowhere', 0, 0, NEVER));
+    expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
+  });
+
+  it('does not claim that nothing is listed once others may run the job', async () => {
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 2);
+    job.items.forEach((item) => system.replicas.lengths.set(item.id, 1000));
+    await settle(first.jobs.submit(job));
+    system.store.faults.isRefusing = true;
+    await time.pass(2500);
+    const unsure = await settle(first.jobs.read('job', 0, 0, NEVER));
+    expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
+  });
+
+  it('stops all runs soon after a job was ended at another gateway', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 1, 4);
+    job.items.forEach((item) => system.replicas.lengths.set(item.id, 1000));
+    await settle(first.jobs.submit(job));
+    await time.pass(200);
+    expect((await settle(second.jobs.end('job'))).isOk).toBe(true);
+    expect((await settle(first.jobs.end('job'))).isOk).toBe(true);
+    await time.pass(200);
+    expect(first.jobs.openCount).toBe(0);
+    const runs = system.replicas.runs.length;
+    await time.pass(5000);
+    expect(system.replicas.runs).toHaveLength(runs);
+    const body = await settle(second.jobs.readBody('job', 'job-0'));
+    expect(body).toMatchObject({ isOk: false, failure: { code: 'unknown-item' } });
+  });
+
+  it('gives the body of an item that is not listed, at every gateway', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    for (const from of [first, second]) {
+      const body = await settle(from.jobs.readBody('job', 'job-1'));
+      expect(body).toMatchObject({ isOk: true, value: Buffer.from('body of job-1') });
+    }
+  });
+
+  it('does not run an item on weights that are older than the job accepts', async () => {
+    system.addReplica('e4', { version: 2 });
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 3, 2);
+    await settle(first.jobs.submit(job));
+    await time.pass(3000);
+    const results = await settle(readAll(first, 'job'));
+    expect(results).toHaveLength(3);
+    results.forEach((result) => expect(result.versions).toEqual([2]));
+    expect(new Set(system.replicas.runs.map((run) => run.replica))).toEqual(new Set(['e4']));
+  });
+
+  it('believes the answer rather than the row about the version of the weights', async () => {
+    const first = await system.start('vm-1');
+    system.store.write(
+      'replicas',
+      '',
+      'e1',
+      JSON.stringify({ service: 'engines', version: 3, isDraining: false }),
+    );
+    system.addReplica('e4', { version: 3 });
+    const job = systems.createJob('job', 1, 8, 3);
+    await settle(first.jobs.submit(job));
+    await time.pass(4000);
+    const results = await settle(readAll(first, 'job'));
+    expect(results).toHaveLength(8);
+    results.forEach((result) => expect(result.versions).toEqual([3]));
+  });
+
+  it('lists an item as terminated when its time is over or it fails for good', async () => {
+    system.configure(systems.createConfiguration(2, { itemLifetimeMs: 2000 }));
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 2, 9);
+    await settle(first.jobs.submit(job));
+    await time.pass(1500);
+    expect(await settle(readAll(first, 'job'))).toHaveLength(0);
+    await time.pass(2500);
+    const results = await settle(readAll(first, 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
+  });
+
+  it('goes on elsewhere when a replica falls silent, and does not ask it again soon', async () => {
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 2, 4);
+    system.replicas.behaviourOf('e1').isSilent = true;
+    await settle(first.jobs.submit(job));
+    await time.pass(3000);
+    expectWhole(await settle(readAll(first, 'job')), job);
+    const silent = system.replicas.runs.filter((run) => run.replica === 'e1');
+    const asked = new Set(silent.map((run) => run.startedMs));
+    expect(asked.size).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/support/small-system.ts
@@ -0,0 +1,242 @@
+/**
+ * A few gateways in the test's own process, on one store in memory and the same replicas.
+ */
+import * as gateway from '@azureworks/gateway';
+import * as standins from '@azureworks/standins';
+import * as fakeReplicas from './fake-replicas';
+import * as time from './virtual-time';
+
+const SERVICE = 'engines';
+const PLAIN = 'plain';
+export const HOST = 'trainer.example';
+export const JOB_PATH = '/jobs/one';
+
+/** What differs between the routes of tests. */
+export interface RouteOptions {
+  readonly mostAttempts?: number;
+  readonly isSingleVersion?: boolean;
+  readonly itemLifetimeMs?: number;
+}
+
+/** A configuration with a rollout route and a plain one. */
+export function createConfiguration(
+  version: number,
+  options: RouteOptions = {},
+): gateway.Configuration {
+  const base = {
+    host: HOST,
+    timeoutMs: 10_000,
+    objectiveMs: 200,
+    priority: 0,
+    isResumable: false,
+    mostAttempts: options.mostAttempts ?? 3,
+    isSingleVersion: options.isSingleVersion ?? false,
+    resultsDueMs: 7500,
+    itemLifetimeMs: options.itemLifetimeMs ?? 40_000,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...base,
+        name: 'rollout',
+        pathPrefix: '/jobs/',
+        kind: gateway.RouteKind.Rollout,
+        services: [{ service: SERVICE, weight: 1 }],
+      },
+      {
+        ...base,
+        name: 'plain',
+        pathPrefix: '/plain/',
+        kind: gateway.RouteKind.Idempotent,
+        services: [{ service: PLAIN, weight: 1 }],
+      },
+    ],
+    services: new Map([
+      [
+        SERVICE,
+        {
+          name: SERVICE,
+          connectionLimit: 100,
+          engineSlots: 4,
+          engineTokens: 10_000,
+          tokensAnEvent: 1,
+          models: ['model'],
+        },
+      ],
+      [
+        PLAIN,
+        {
+          name: PLAIN,
+          connectionLimit: 100,
+          engineSlots: undefined,
+          engineTokens: undefined,
+          tokensAnEvent: 1,
+          models: [],
+        },
+      ],
+    ]),
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** An item with a scoring call. */
+export function createItem(id: string, group: string, expectedOutputTokens = 10): gateway.Item {
+  return {
+    id,
+    path: `/jobs/items/${id}`,
+    headers: [],
+    body: Buffer.from(`body of ${id}`),
+    group,
+    model: 'model',
+    tokens: 20,
+    expectedOutputTokens,
+    scoring: { id: `score-${id}`, host: HOST, path: '/plain/score', body: Buffer.from(id) },
+  };
+}
+
+/** A batch job of groups of items. */
+export function createJob(id: string, groups: number, size: number, oldest = 1): gateway.BatchJob {
+  const items = Array.from({ length: groups * size }, (_unused, index) =>
+    createItem(`${id}-${index}`, `g${Math.floor(index / size)}`),
+  );
+  return {
+    id,
+    host: HOST,
+    path: JOB_PATH,
+    step: 0,
+    model: 'model',
+    oldestVersion: oldest,
+    wantedGroups: groups,
+    items,
+  };
+}
+
+/** Which ways to the store a gateway has. */
+export interface Reach {
+  /** The direct way is cut. */
+  isCut: boolean;
+  /** The ways through peers are cut as well. */
+  isAlone?: boolean;
+}
+
+/** The store, the replicas, and gateways that come and go. */
+export class SmallSystem {
+  readonly store = standins.MemoryStore.create({ nowMs: time.nowMs, pause: time.pause });
+
+  readonly replicas = fakeReplicas.FakeReplicas.create();
+
+  private readonly running: gateway.Gateway[] = [];
+
+  private configuration = createConfiguration(1);
+
+  static create(): SmallSystem {
+    return new SmallSystem();
+  }
+
+  /** Puts a configuration in force. */
+  configure(configuration: gateway.Configuration): void {
+    this.configuration = configuration;
+    this.store.write('operator', '', 'configuration', String(configuration.version));
+  }
+
+  /** Registers a replica of the engines or of the plain service. */
+  addReplica(
+    id: string,
+    options: { readonly isPlain?: boolean; readonly version?: number } = {},
+  ): void {
+    const value = JSON.stringify({
+      service: options.isPlain ? PLAIN : SERVICE,
+      version: options.version ?? 1,
+      isDraining: false,
+    });
+    this.replicas.versions.set(id, options.version ?? 1);
+    this.store.write('replicas', '', id, value);
+  }
+
+  /** Starts a gateway; `reach` tells whether it reaches the store. */
+  async start(
+    vm: string,
+    incarnation = `${vm}-first`,
+    reach: Reach = { isCut: false },
+  ): Promise<gateway.Gateway> {
+    const started = gateway.Gateway.create({
+      environment: time.createEnvironment(vm, incarnation),
+      failureDomains: ['domain-a'],
+      seeds: [],
+      directStore: this.connect(() => reach.isCut || reach.isAlone === true),
+      connectRelay: () => this.connect(() => reach.isAlone === true),
+      caller: this.replicas,
+      tables: { operator: 'operator', replicas: 'replicas' },
+      decodeOperatorRow: (row) => this.decodeOperatorRow(row),
+      decodeReplica,
+      decodeJob: () => 'not used',
+      leaseMs: 3000,
+    });
+    this.running.push(started);
+    await started.start();
+    await time.pass(100);
+    return started;
+  }
+
+  /** Ends everything that tests left running. */
+  async stopAll(): Promise<void> {
+    const stops = this.running.map((started) => started.stop());
+    await time.pass(5000);
+    await Promise.all(stops);
+  }
+
+  private connect(isCut: () => boolean): gateway.ConnectedStore {
+    const { store } = this;
+    const lost = async (): Promise<gateway.StoreFailure> => {
+      await time.pause(100);
+      return { status: gateway.StoreStatus.NotDone, reason: 'cut off' };
+    };
+    return {
+      get nowMs() {
+        return store.nowMs;
+      },
+      transact: (transaction) => (isCut() ? lost() : store.transact(transaction)),
+      read: (range) => (isCut() ? lost() : store.read(range)),
+      listPartitions: (table) => (isCut() ? lost() : store.listPartitions(table)),
+      waitForChanges: (table, after, waitMs) =>
+        isCut() ? lost() : store.waitForChanges(table, after, waitMs),
+      close: () => {},
+    };
+  }
+
+  private decodeOperatorRow(row: gateway.Row): gateway.OperatorRow {
+    if (row.key === 'configuration') {
+      return { kind: 'configuration', configuration: this.configuration };
+    }
+    const [model, version] = row.value.toString().split('=');
+    return { kind: 'weights', model: model ?? '', version: Number(version) };
+  }
+}
+
+function decodeReplica(row: gateway.Row): gateway.Replica | undefined {
+  try {
+    const parsed = JSON.parse(row.value.toString()) as {
+      readonly service: string;
+      readonly version: number;
+      readonly isDraining: boolean;
+    };
+    return {
+      id: row.key,
+      service: parsed.service,
+      address: `${row.key}:1`,
+      failureDomain: 'domain-a',
+      slots: 4,
+      isDraining: parsed.isDraining,
+      bornMs: 1,
+      modelVersions: new Map([['model', parsed.version]]),
+    };
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,3 +4,4 @@
 export { PlatformStandin } from './core/platform';
 export { CallerStandin } from './core/caller';
 export { TrainerStandin } from './core/trainer';
+export { MemoryStore, type StoreFaults } from './rows/memory-store';
