--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -109,25 +109,26 @@
 
   it('goes on from the texts that a stopping gateway left, without a piece twice', async () => {
     const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
     const job = systems.createJob('job', 1, 3);
-    await settle(first.jobs.submit(job));
-    // One result is being listed slowly while the other texts are still growing.
+    job.items.forEach((item) => system.replicas.lengths.set(item.id, 30));
     system.replicas.lengths.set('job-0', 3);
-    const second = await system.start('vm-2');
-    system.store.faults.slowMs = 60;
+    await settle(first.jobs.submit(job));
+    // The listing of one result is under way while the other texts are still growing.
+    system.store.faults.slowMs = 150;
+    await time.pass(100);
     first.prepareStop();
-    const released = first.release();
-    await settle(released);
+    await settle(first.release());
     system.store.faults.slowMs = 0;
-    system.replicas.lengths.delete('job-0');
     await settle(first.stop());
     await time.pass(3000);
     const results = await settle(readAll(second, 'job'));
     results
       .filter((result) => result.itemId !== 'job-0')
       .forEach((result) => {
-        expect(result.text).toBe(fakeReplicas.createText(result.itemId, 10));
+        expect(result.text).toBe(fakeReplicas.createText(result.itemId, 30));
       });
+    expect(results).toHaveLength(3);
     expect(system.replicas.runs.some((run) => run.afterEvent !== undefined)).toBe(true);
   });
 
