Test the gateway's decisions by the load patterns that they answer

Two faults found by them: a replica whose answers take no measurable time left the placement without a choice, and the share of replicas that load at a time (0.28) fell short of what 30 replicas bear (9).

--- /dev/null
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -0,0 +1,237 @@
+import * as runtime from '@azureworks/runtime';
+import * as gateway from '@azureworks/gateway';
+import * as standins from '@azureworks/standins';
+import * as routedStores from '../src/store/routed-store';
+import * as settled from '../src/store/settled-transaction';
+import * as tableWatches from '../src/store/table-watch';
+import * as directories from '../src/replicas/directory';
+import * as time from './support/virtual-time';
+
+const { StoreStatus } = gateway;
+
+function createStore(): standins.MemoryStore {
+  return standins.MemoryStore.create({ nowMs: time.nowMs, pause: time.pause });
+}
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+describe('a transaction whose answer was lost', () => {
+  const address = { table: 't', partition: 'p', key: 'k' };
+  const write = { ...address, value: Buffer.from('own') };
+  const options = {
+    limitMs: 2000,
+    nowMs: time.nowMs,
+    pause: time.pause,
+    random: () => 0.5,
+  };
+
+  async function settle(store: gateway.Store): Promise<gateway.TransactionOutcome> {
+    const transaction = {
+      conditions: [{ ...address, revision: 0 }],
+      writes: [write],
+      removals: [],
+    };
+    const outcome = settled.settleTransaction(store, transaction, write, options);
+    await time.pass(5000);
+    return outcome;
+  }
+
+  it('is known to be in force when it had taken effect', async () => {
+    const store = createStore();
+    store.faults.loseAnswers = 1;
+    expect(await settle(store)).toEqual({ status: StoreStatus.Done, revision: 1 });
+  });
+
+  it('is known to have lost when somebody else was first', async () => {
+    const store = createStore();
+    store.faults.applyLate = 1;
+    store.faults.lateMs = 10_000;
+    store.write('t', 'p', 'k', 'of another');
+    expect((await settle(store)).status).toBe(StoreStatus.Conflict);
+  });
+
+  it('takes effect once when the first sending arrives after the second', async () => {
+    const store = createStore();
+    store.faults.applyLate = 1;
+    store.faults.lateMs = 1000;
+    expect(await settle(store)).toEqual({ status: StoreStatus.Done, revision: 1 });
+    await time.pass(3000);
+    expect(store.inspect('t').map((row) => row.revision)).toEqual([1]);
+  });
+
+  it('stays unknown rather than not done when no answer comes at all', async () => {
+    const store = createStore();
+    store.faults.isAway = true;
+    expect((await settle(store)).status).toBe(StoreStatus.Unknown);
+    const refusing = createStore();
+    refusing.faults.isRefusing = true;
+    expect((await settle(refusing)).status).toBe(StoreStatus.NotDone);
+  });
+});
+
+describe('a store that turns one VM away', () => {
+  function create(): {
+    readonly routed: routedStores.RoutedStore;
+    readonly direct: standins.MemoryStore;
+    readonly behind: standins.MemoryStore;
+  } {
+    const [direct, behind] = [createStore(), createStore()];
+    const connect = (store: standins.MemoryStore): gateway.ConnectedStore =>
+      Object.assign(Object.create(store) as standins.MemoryStore, { close: () => {} });
+    const routed = routedStores.RoutedStore.create({
+      direct: connect(direct),
+      relays: { listRelays: () => ['peer'] },
+      connect: () => connect(behind),
+      log: runtime.SilentLog.create(),
+      metrics: runtime.Metrics.create(),
+      nowMs: time.nowMs,
+    });
+    return { routed, direct, behind };
+  }
+
+  it('is asked through a peer, and directly again once it answers', async () => {
+    const { routed, direct, behind } = create();
+    behind.write('t', 'p', 'k', 'value');
+    direct.faults.isRefusing = true;
+    const relayed = await routed.read({ table: 't', partition: 'p' });
+    expect(relayed).toMatchObject({ status: StoreStatus.Done, rows: [{ key: 'k' }] });
+    expect(routed.isSteady).toBe(true);
+    direct.faults.isRefusing = false;
+    await time.pass(3000);
+    const later = await routed.read({ table: 't', partition: 'p' });
+    expect(later).toMatchObject({ status: StoreStatus.Done, rows: [] });
+  });
+
+  it('is not steady for a while after no way led to it', async () => {
+    const { routed, direct, behind } = create();
+    [direct, behind].forEach((store) => {
+      store.faults.isRefusing = true;
+    });
+    expect(await routed.read({ table: 't', partition: 'p' })).toMatchObject({
+      status: StoreStatus.NotDone,
+    });
+    expect(routed.isSteady).toBe(false);
+    await time.pass(2500);
+    expect(routed.isSteady).toBe(true);
+  });
+});
+
+describe('following a table', () => {
+  it('reads everything again when the history was dropped, and finds what was removed', async () => {
+    const store = createStore();
+    store.write('t', '', 'a', '1');
+    store.write('t', '', 'b', '1');
+    const seen = new Map<string, string>();
+    const watch = tableWatches.TableWatch.create({
+      store,
+      table: 't',
+      observer: {
+        replace: (rows) => {
+          seen.clear();
+          rows.forEach((row) => seen.set(row.key, row.value.toString()));
+        },
+        change: (changes) =>
+          changes.forEach((change) => {
+            if (change.isRemoved) seen.delete(change.key);
+            else seen.set(change.key, change.value.toString());
+          }),
+      },
+      log: runtime.SilentLog.create(),
+      pause: time.pause,
+    });
+    await watch.start();
+    await time.pass(10);
+    store.write('t', '', 'a', '2');
+    await time.pass(10);
+    expect([...seen]).toEqual([
+      ['a', '2'],
+      ['b', '1'],
+    ]);
+    store.faults.isAway = true;
+    await time.pass(3000);
+    store.remove('t', '', 'b');
+    store.write('t', '', 'c', '1');
+    store.dropHistory();
+    store.faults.isAway = false;
+    await time.pass(2000);
+    expect([...seen.keys()]).toEqual(['a', 'c']);
+    await watch.stop();
+    await time.pass(3000);
+  });
+});
+
+describe('the directory of replicas', () => {
+  function create(isSteady: { value: boolean }): directories.Directory {
+    return directories.Directory.create({
+      environment: time.createEnvironment('vm'),
+      decode: (row) => {
+        const text = row.value.toString();
+        if (text === 'unreadable') return undefined;
+        const [state, born] = text.split(' ');
+        return {
+          id: row.key,
+          service: 's',
+          address: '127.0.0.1:1',
+          failureDomain: 'a',
+          slots: 4,
+          isDraining: state === 'draining',
+          bornMs: Number(born),
+          modelVersions: new Map([['m', 1]]),
+        };
+      },
+      isStoreSteady: () => isSteady.value,
+    });
+  }
+
+  const row = (key: string, value: string): gateway.Row => ({
+    table: 'replicas',
+    partition: '',
+    key,
+    value: Buffer.from(value),
+    revision: 1,
+  });
+  const removal = (key: string): gateway.RowChange => ({ ...row(key, ''), isRemoved: true });
+  const list = (directory: directories.Directory): string[] =>
+    directory.list('s').map((known) => known.replica.id);
+
+  it('drops a removed or draining replica at once while the store is steady', () => {
+    const directory = create({ value: true });
+    directory.replace([row('a', 'ready 1'), row('b', 'ready 1'), row('c', 'ready 1')]);
+    directory.change([removal('a'), { ...row('b', 'draining 1'), isRemoved: false }]);
+    expect(list(directory)).toEqual(['c']);
+  });
+
+  it('waits for a replica that is missing after an outage, and then drops it', async () => {
+    const isSteady = { value: false };
+    const directory = create(isSteady);
+    directory.replace([row('a', 'ready 1'), row('b', 'ready 1')]);
+    directory.replace([]);
+    expect(list(directory)).toEqual(['a', 'b']);
+    await time.pass(1000);
+    directory.change([{ ...row('b', 'ready 1'), isRemoved: false }]);
+    await time.pass(1500);
+    expect(list(directory)).toEqual(['b']);
+  });
+
+  it('keeps what it knew when a row cannot be read', () => {
+    const directory = create({ value: true });
+    directory.replace([row('a', 'ready 1')]);
+    directory.change([{ ...row('a', 'unreadable'), isRemoved: false }]);
+    expect(list(directory)).toEqual(['a']);
+  });
+
+  it('forgets what a replica had when it started again under its id', () => {
+    const directory = create({ value: true });
+    directory.replace([row('a', 'ready 1')]);
+    directory.get('a')?.shownVersions.set('m', 7);
+    directory.change([{ ...row('a', 'ready 2'), isRemoved: false }]);
+    const known = directory.get('a');
+    expect(known && directory.getVersion(known, 'm')).toBe(1);
+  });
+});
--- a/packages/gateway/src/replicas/placement.ts
+++ b/packages/gateway/src/replicas/placement.ts
@@ -46,7 +46,7 @@
 /** The expected wait for a further request, in units of an ordinary replica's service time. */
 function measureCost(candidate: PlacementCandidate, typicalMs: number | undefined): number {
   const slowness =
-    typicalMs === undefined || candidate.unitMs === undefined
+    typicalMs === undefined || typicalMs === 0 || candidate.unitMs === undefined
       ? 1
       : Math.max(1, candidate.unitMs / typicalMs);
   return ((candidate.load + 1) / Math.max(1, candidate.slots)) * slowness;
--- a/packages/gateway/src/weights/weights-plan.ts
+++ b/packages/gateway/src/weights/weights-plan.ts
@@ -32,7 +32,7 @@
 }
 
 /** Share of the replicas that may load at the same time before loading slows down. */
-const LOADING_SHARE = 0.28;
+const LOADING_SHARE = 0.3;
 /** Replicas that may load at the same time however few there are. */
 const FEWEST_AT_ONCE = 2;
 /** Steps accept this many versions before the one named last. */
