Finish a version on its replicas before the next model's loads begin

Cause: with equally many replicas serving, the model with most loads left went first, so the last load of the former model came after its next version was named.

--- a/packages/gateway/src/weights/weights-plan.ts
+++ b/packages/gateway/src/weights/weights-plan.ts
@@ -57,7 +57,7 @@
   const needs = named
     .map((weights) => measureNeed(replicas, weights, share))
     .filter((need) => need.missing > 0)
-    .sort((first, second) => first.serving - second.serving || second.missing - first.missing);
+    .sort((first, second) => first.serving - second.serving || first.missing - second.missing);
   const orders: PlannedOrder[] = [];
   needs.forEach((need) => {
     const behind = [...idle].filter((replica) => {
