--- a/packages/gateway/__tests__/weights-plan.test.ts
+++ b/packages/gateway/__tests__/weights-plan.test.ts
@@ -41,17 +41,17 @@
     }).length;
   let [fewestAtStart, fewestLater, mostLoading, loads] = [Infinity, Infinity, 0, 0];
   for (let nowMs = 0; nowMs < VERSIONS * PERIOD_MS; nowMs += STEP_MS) {
+    replicas.forEach((replica) => {
+      if (!replica.loading || nowMs < replica.loadedMs) return;
+      replica.versions.set(replica.loading.model, replica.loading.version);
+      replica.loading = undefined;
+    });
     models.forEach((model, index) => {
       // The trainers' steps begin a little apart.
       if ((nowMs - index * 300) % PERIOD_MS !== 0 || nowMs < PERIOD_MS) return;
       named.set(model, (named.get(model) ?? 1) + 1);
       fewestAtStart = Math.min(fewestAtStart, serving(model));
     });
-    replicas.forEach((replica) => {
-      if (!replica.loading || nowMs < replica.loadedMs) return;
-      replica.versions.set(replica.loading.model, replica.loading.version);
-      replica.loading = undefined;
-    });
     const orders = weightsPlan.planOrders(
       replicas.map((replica) => ({ ...replica, load: 0 })),
       [...named].map(([model, version]) => ({ model, version })),
