--- a/packages/gateway/__tests__/group-order.test.ts
+++ b/packages/gateway/__tests__/group-order.test.ts
@@ -66,10 +66,10 @@
     const order = isOrdered
       ? groupOrder.orderItems(waiting, nowMs).map((item) => item.itemId)
       : [...samples.keys()].filter((id) => !started.has(id));
-    order.slice(0, PLACES - running.length).forEach((id) => {
+    for (const id of order.slice(0, PLACES - running.length)) {
       started.add(id);
       running.push({ id, endMs: nowMs + (samples.get(id)?.tookMs ?? 0) });
-    });
+    }
     running.sort((first, second) => first.endMs - second.endMs);
     const next = running.shift();
     if (!next) throw new Error('nothing runs');
--- a/packages/gateway/__tests__/weights-plan.test.ts
+++ b/packages/gateway/__tests__/weights-plan.test.ts
@@ -39,8 +39,12 @@
       const held = replica.versions.get(model) ?? 0;
       return held >= (named.get(model) ?? 1) - 1 && replica.loading?.model !== model;
     }).length;
-  let [fewestAtStart, fewestLater, mostLoading, loads] = [Infinity, Infinity, 0, 0];
-  for (let nowMs = 0; nowMs < VERSIONS * PERIOD_MS; nowMs += STEP_MS) {
+  const seen = { fewestAtStart: Infinity, fewestLater: Infinity, mostLoading: 0, loads: 0 };
+  const ticks = Array.from(
+    { length: (VERSIONS * PERIOD_MS) / STEP_MS },
+    (_unused, index) => index * STEP_MS,
+  );
+  ticks.forEach((nowMs) => {
     replicas.forEach((replica) => {
       if (!replica.loading || nowMs < replica.loadedMs) return;
       replica.versions.set(replica.loading.model, replica.loading.version);
@@ -50,7 +54,7 @@
       // The trainers' steps begin a little apart.
       if ((nowMs - index * 300) % PERIOD_MS !== 0 || nowMs < PERIOD_MS) return;
       named.set(model, (named.get(model) ?? 1) + 1);
-      fewestAtStart = Math.min(fewestAtStart, serving(model));
+      seen.fewestAtStart = Math.min(seen.fewestAtStart, serving(model));
     });
     const orders = weightsPlan.planOrders(
       replicas.map((replica) => ({ ...replica, load: 0 })),
@@ -62,17 +66,20 @@
       expect(replica.loading).toBeUndefined();
       replica.loading = order;
       replica.loadedMs = nowMs + LOAD_MS;
-      loads += 1;
+      seen.loads += 1;
     });
-    mostLoading = Math.max(mostLoading, replicas.filter((replica) => replica.loading).length);
+    seen.mostLoading = Math.max(
+      seen.mostLoading,
+      replicas.filter((replica) => replica.loading).length,
+    );
     if (nowMs % PERIOD_MS === PERIOD_MS - 500) {
       models.forEach((model) => {
-        fewestLater = Math.min(fewestLater, serving(model));
+        seen.fewestLater = Math.min(seen.fewestLater, serving(model));
       });
     }
-  }
+  });
   const versions = [...named.values()].reduce((sum, version) => sum + version - 1, 0);
-  return { fewestAtStart, fewestLater, mostLoading, loadsAVersion: loads / versions };
+  return { ...seen, loadsAVersion: seen.loads / versions };
 }
 
 describe('the placement of weights', () => {
