Run the jobs of a model by one gateway; give a score up only after enough failures

Failures are now counted, not calls. Ruled out: the store (the item was listed as decided). A job that was assigned to a stopping gateway is handed on (found by its test).

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -187,6 +187,53 @@
     expect(system.replicas.runs).toHaveLength(4);
   });
 
+  it('has the jobs of a model run by one gateway, wherever they are submitted', async () => {
+    const all = [
+      await system.start('vm-1'),
+      await system.start('vm-2'),
+      await system.start('vm-3'),
+    ];
+    await time.pass(1500);
+    const runners: number[] = [];
+    for (const [index, accepting] of all.entries()) {
+      const job = systems.createJob(`job-${index}`, 1, 4);
+      expect((await settle(accepting.jobs.submit(job))).isOk).toBe(true);
+      await time.pass(60);
+      runners.push(all.findIndex((candidate) => candidate.jobs.has(job.id)));
+      const started = time.nowMs();
+      const reading = accepting.jobs.read(job.id, 0, 1000, NEVER);
+      const answer = await settle(reading);
+      expect(answer.isOk && answer.value.results.length).toBeGreaterThan(0);
+      expect(time.nowMs() - started).toBeLessThan(500);
+      await time.pass(1000);
+      expectWhole(await settle(readAll(accepting, job.id)), job);
+    }
+    expect(new Set(runners).size).toBe(1);
+    expect(runners[0]).toBeGreaterThanOrEqual(0);
+  });
+
+  it('gives a job that reaches a stopping gateway to another', async () => {
+    const all = [
+      await system.start('vm-1'),
+      await system.start('vm-2'),
+      await system.start('vm-3'),
+    ];
+    await time.pass(1500);
+    const first = systems.createJob('first', 1, 1);
+    await settle(all[0].jobs.submit(first));
+    await time.pass(100);
+    const runner = all.find((candidate) => candidate.jobs.has('first'))!;
+    const accepting = all.find((candidate) => candidate !== runner)!;
+    // The acceptor does not know yet that the runner is about to stop.
+    runner.prepareStop();
+    const job = systems.createJob('second', 1, 2);
+    await settle(accepting.jobs.submit(job));
+    await settle(runner.release());
+    await time.pass(2500);
+    expect(runner.jobs.has('second')).toBe(false);
+    expectWhole(await settle(readAll(accepting, 'second')), job);
+  });
+
   it('keeps positions when two gateways believe that they run the job', async () => {
     const reach = { isCut: false, isAlone: false };
     const first = await system.start('vm-1', 'vm-1-first', reach);
@@ -297,6 +344,28 @@
     expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
   });
 
+  it('gives a score up only after as many failures as the route allows attempts', async () => {
+    system.configure(systems.createConfiguration(2, { mostAttempts: 4 }));
+    ['p1', 'p2'].forEach((id) => {
+      system.replicas.behaviourOf(id).status = 500;
+    });
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 1);
+    await settle(first.jobs.submit(job));
+    await time.pass(3000);
+    const results = await settle(readAll(first, 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated']);
+    expect(system.replicas.calls.length).toBeGreaterThanOrEqual(4);
+
+    // With one replica left each call brings one failure.
+    system.store.remove('replicas', '', 'p2');
+    const calls = system.replicas.calls.length;
+    await settle(first.jobs.submit(systems.createJob('second', 1, 1)));
+    await time.pass(3000);
+    expect(await settle(readAll(first, 'second'))).toHaveLength(1);
+    expect(system.replicas.calls.length - calls).toBeGreaterThanOrEqual(4);
+  });
+
   it('goes on elsewhere when a replica falls silent, and does not ask it again soon', async () => {
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 2, 4);
--- a/packages/gateway/__tests__/membership.test.ts
+++ b/packages/gateway/__tests__/membership.test.ts
@@ -3,7 +3,15 @@
 const INTERVAL_MS = 500;
 
 function record(vm: string, revision: number, incarnation = 'first'): membership.MemberRecord {
-  return { vm, incarnation, address: `${vm}:1`, failureDomain: 'a', revision };
+  return {
+    vm,
+    incarnation,
+    address: `${vm}:1`,
+    failureDomain: 'a',
+    capacity: 1,
+    isStopping: false,
+    revision,
+  };
 }
 
 /** Reads every half second; `renewed` says which members renew. */
--- a/packages/gateway/__tests__/support/small-system.ts
+++ b/packages/gateway/__tests__/support/small-system.ts
@@ -133,6 +133,8 @@
 
   private readonly running: gateway.Gateway[] = [];
 
+  private readonly byAddress = new Map<string, gateway.Gateway>();
+
   private configuration = createConfiguration(1);
 
   static create(): SmallSystem {
@@ -172,6 +174,10 @@
       directStore: this.connect(() => reach.isCut || reach.isAlone === true),
       connectRelay: () => this.connect(() => reach.isAlone === true),
       caller: this.replicas,
+      peers: {
+        waitForResult: (address, id, position, waitMs, signal) =>
+          this.waitAt(address, id, position, waitMs, signal),
+      },
       tables: { operator: 'operator', replicas: 'replicas' },
       decodeOperatorRow: (row) => this.decodeOperatorRow(row),
       decodeReplica,
@@ -179,6 +185,7 @@
       leaseMs: 3000,
     });
     this.running.push(started);
+    this.byAddress.set(`${vm}:1`, started);
     await started.start();
     await time.pass(100);
     return started;
@@ -191,6 +198,14 @@
     await Promise.all(stops);
   }
 
+  private async waitAt(
+    address: string,
+    ...wait: Parameters<gateway.Gateway['jobs']['waitForListing']>
+  ): Promise<boolean> {
+    const peer = this.byAddress.get(address);
+    return peer ? peer.jobs.waitForListing(...wait) : false;
+  }
+
   private connect(isCut: () => boolean): gateway.ConnectedStore {
     const { store } = this;
     const lost = async (): Promise<gateway.StoreFailure> => {
--- a/packages/gateway/__tests__/support/virtual-time.ts
+++ b/packages/gateway/__tests__/support/virtual-time.ts
@@ -34,6 +34,7 @@
     vm,
     incarnation,
     failureDomain: 'domain-a',
+    capacity: 1,
     peerAddress: `${vm}:1`,
     log: runtime.SilentLog.create(),
     metrics: runtime.Metrics.create(),
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -30,6 +30,7 @@
   readonly directStore: routedStores.ConnectedStore;
   readonly connectRelay: (address: string) => routedStores.ConnectedStore;
   readonly caller: replicas.ReplicaCaller;
+  readonly peers: jobServices.Peers;
   readonly tables: { readonly operator: string; readonly replicas: string };
   readonly decodeOperatorRow: configurationKeepers.DecodeOperatorRow;
   readonly decodeReplica: directories.DecodeReplica;
@@ -101,6 +102,8 @@
       store: jobStore,
       runner,
       isTrusted: () => this.members.isTrusted,
+      listWorkers: () => this.members.listWorkers(),
+      peers: parts.peers,
     });
     this.takeover = takeoverTasks.TakeoverTask.create({
       environment,
@@ -115,7 +118,7 @@
       directory,
       caller,
       leaseMs: parts.leaseMs,
-      countLive: () => this.members.listLiveVms().length,
+      countLive: () => this.members.listWorkers().length,
     });
     configuration.subscribe({
       configurationChanged: () => runner.planPump(),
@@ -164,6 +167,7 @@
   prepareStop(): void {
     this.isStopping = true;
     this.jobs.prepareStop();
+    this.members.announceStop();
   }
 
   /** Gives the jobs back, so that others go on with them; requests are still answered. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -55,4 +55,4 @@
   type ScoringCall,
 } from './types/batch-job';
 export type { CallerRequest, Reply } from './types/exchange';
-export type { Answer, ResultsPage } from './jobs/job-service';
+export type { Answer, Peers, ResultsPage } from './jobs/job-service';
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -24,7 +24,12 @@
 export const ITEMS_END = 'items/';
 
 /** What a notice tells; also its key. */
-export const Notice = { Ended: 'ended', Released: 'released' } as const;
+export const Notice = {
+  Ended: 'ended',
+  Released: 'released',
+  /** The job was accepted for another gateway, whose VM is the value. */
+  Assigned: 'assigned',
+} as const;
 export type Notice = (typeof Notice)[keyof typeof Notice];
 
 /** The process that runs a job. */
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -259,7 +259,8 @@
   private async score(job: ownedJobs.OwnedJob, entry: progress.ItemProgress): Promise<void> {
     entry.phase = progress.ItemPhase.Scoring;
     entry.isTextWhole = true;
-    const end = await scoring.askScore(this.parts, job, entry);
+    const mostAttempts = this.findRoute(job)?.mostAttempts ?? 1;
+    const end = await scoring.askScore(this.parts, job, entry, mostAttempts);
     if (!job.isOpen) return;
     if (end === 'scored') job.finish(entry, jobs.ResultState.Completed);
     if (end === 'failed') job.finish(entry, jobs.ResultState.Terminated);
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -10,10 +10,12 @@
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
+import type * as records from './job-record';
 import type * as jobRunners from './job-runner';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
 import * as partialTexts from './partial-texts';
+import * as runnerChoices from './runner-choice';
 
 /** What the service needs. */
 export interface JobServiceParts {
@@ -22,6 +24,30 @@
   readonly runner: jobRunners.JobRunner;
   /** Whether no other gateway can have taken this one's jobs over. */
   readonly isTrusted: () => boolean;
+  /** The gateways that take new work. */
+  readonly listWorkers: () => readonly Worker[];
+  readonly peers: Peers;
+}
+
+/** A gateway that takes new work. */
+export interface Worker extends records.JobOwner, runnerChoices.RunnerCandidate {
+  /** Where peers reach it. */
+  readonly address: string;
+}
+
+/** Calls to other gateways. */
+export interface Peers {
+  /**
+   * Waits until a job that the peer runs has more than `position` results, or for `waitMs`.
+   * Resolves to false when the peer does not answer or does not run the job.
+   */
+  waitForResult(
+    address: string,
+    id: string,
+    position: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean>;
 }
 
 /** Results from a position on. */
@@ -35,6 +61,13 @@
   | { readonly isOk: true; readonly value: Value }
   | { readonly isOk: false; readonly failure: decisions.Failure };
 
+/** What is remembered of a job that may be run elsewhere. */
+interface JobFacts {
+  readonly total: number;
+  /** Who ran it when it was last looked up; null when that is not known. */
+  readonly owner: records.JobOwner | null;
+}
+
 /** Jobs of which the unchanging facts are remembered, at the most. */
 const MOST_REMEMBERED = 2000;
 /** How often a reader's gateway looks into the store for new results, in milliseconds. */
@@ -51,7 +84,9 @@
 export class JobService {
   private readonly owned = new Map<string, ownedJobs.OwnedJob>();
 
-  private readonly totals = new Map<string, number>();
+  private readonly facts = new Map<string, JobFacts>();
+
+  private readonly adopting = new Set<string>();
 
   private readonly texts = partialTexts.PartialTexts.create();
 
@@ -79,7 +114,8 @@
     if (this.owned.has(job.id)) return { isOk: true, value: undefined };
     if (this.isStopping) return fail('draining', STORE_RETRY_MS);
     const startMs = environment.nowMs();
-    const { outcome, head } = await store.create(job);
+    const runner = runnerChoices.chooseRunner(job.model, this.parts.listWorkers());
+    const { outcome, head } = await store.create(job, runner);
     const tookMs = Math.round(environment.nowMs() - startMs);
     const { id, model, step, oldestVersion, items } = job;
     environment.log.change('job submitted', {
@@ -90,12 +126,15 @@
       oldestVersion,
       items: items.length,
       wantedGroups: job.wantedGroups,
+      runner: head.owner?.vm,
       tookMs,
     });
     environment.metrics.count('jobs_submitted', { outcome: outcome.status });
     environment.metrics.record('job_submission', {}, tookMs);
     if (outcome.status === stores.StoreStatus.Done) {
-      this.own({ id, state: { head, revision: outcome.revision }, items, results: [] });
+      const state = { head, revision: outcome.revision };
+      this.remember(id, { total: items.length, owner: head.owner });
+      if (store.isOwn(head)) this.own({ id, state, items, results: [] });
       return { isOk: true, value: undefined };
     }
     if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
@@ -107,11 +146,31 @@
 
   /** Runs a job from now on, as it is in the store. */
   async adopt(id: string, state: jobStores.HeadState): Promise<boolean> {
+    if (this.adopting.has(id)) return false;
+    this.adopting.add(id);
+    const isAdopted = this.isStopping
+      ? await this.handOn(id, state)
+      : await this.claimAndLoad(id, state);
+    this.adopting.delete(id);
+    return isAdopted;
+  }
+
+  /** A job that was assigned to this gateway although it stops goes to another. */
+  private async handOn(id: string, state: jobStores.HeadState): Promise<false> {
+    const { store } = this.parts;
+    if (store.isOwn(state.head)) await store.release(id, state, []);
+    return false;
+  }
+
+  private async claimAndLoad(id: string, state: jobStores.HeadState): Promise<boolean> {
     const { store } = this.parts;
-    const claimed = await store.claim(id, state);
+    const claimed: jobStores.ChangeOutcome = store.isOwn(state.head)
+      ? { status: stores.StoreStatus.Done, state }
+      : await store.claim(id, state);
     if (claimed.status !== stores.StoreStatus.Done) return false;
     const loaded = await store.load(id);
     if (loaded === jobStores.UNREADABLE) return false;
+    if (this.isStopping) return this.handOn(id, claimed.state);
     const { items, results, partials } = loaded;
     this.owned.delete(id);
     partials.forEach((text) => this.texts.keep(text));
@@ -137,7 +196,7 @@
       else {
         const read = await this.readStored(id, position);
         if (!read.isOk || read.value.results.length > 0 || isLast) return read;
-        await this.parts.environment.pause(Math.min(LOOK_MS, leftMs));
+        await this.waitForOther(id, position, leftMs, signal);
       }
     }
   }
@@ -207,7 +266,7 @@
       { environment, store, closed: (closed) => this.forgetSoon(closed) },
       content,
     );
-    this.remember(job.id, content.items.length);
+    this.remember(job.id, { total: content.items.length, owner: job.head.owner });
     this.owned.set(job.id, job);
     job.items.forEach((entry) => {
       if (this.texts.adopt(entry, job.head.oldestVersion)) runner.noteCarried(entry.item.id);
@@ -245,30 +304,71 @@
     return !job.isOpen || this.parts.isTrusted();
   }
 
+  /** Waits for a result of a job that another gateway runs. */
+  private async waitForOther(
+    id: string,
+    position: number,
+    leftMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { listWorkers, peers, environment } = this.parts;
+    const owner = this.facts.get(id)?.owner;
+    const worker = listWorkers().find(
+      (candidate) => candidate.vm === owner?.vm && candidate.vm !== environment.vm,
+    );
+    const isTold =
+      worker && (await peers.waitForResult(worker.address, id, position, leftMs, signal));
+    if (isTold) return;
+    // Whoever runs it now, the store tells what is listed.
+    this.forgetOwner(id);
+    await environment.pause(Math.min(LOOK_MS, leftMs));
+  }
+
+  private forgetOwner(id: string): void {
+    const facts = this.facts.get(id);
+    if (facts) this.facts.set(id, { ...facts, owner: null });
+  }
+
+  /** See Peers.waitForResult, on the side of the gateway that runs the job. */
+  async waitForListing(
+    id: string,
+    position: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const job = this.owned.get(id);
+    if (!job) return false;
+    if (job.results.length > position) return true;
+    // Nothing more comes here, so the reader had better not ask again at once.
+    if (!job.isOpen) return false;
+    await job.waitForResult(waitMs, signal);
+    return true;
+  }
+
   private async readStored(id: string, position: number): Promise<Answer<ResultsPage>> {
     const { store } = this.parts;
-    let total = this.totals.get(id);
-    if (total === undefined) {
+    let facts = this.facts.get(id);
+    if (!facts?.owner) {
       const state = await store.readHead(id);
       if (state === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
       if (!state) return fail('unknown-job');
-      total = state.head.total;
-      this.remember(id, total);
+      facts = { total: state.head.total, owner: state.head.owner };
+      this.remember(id, facts);
     }
     const results = await store.readResults(id, position);
     if (results === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-    return { isOk: true, value: { total, results } };
+    return { isOk: true, value: { total: facts.total, results } };
   }
 
-  private remember(id: string, total: number): void {
-    if (this.totals.size >= MOST_REMEMBERED) {
-      const [oldest] = this.totals.keys();
+  private remember(id: string, facts: JobFacts): void {
+    if (this.facts.size >= MOST_REMEMBERED) {
+      const [oldest] = this.facts.keys();
       if (oldest !== undefined) {
-        this.totals.delete(oldest);
+        this.facts.delete(oldest);
         if (!this.owned.get(oldest)?.isOpen) this.owned.delete(oldest);
       }
     }
-    this.totals.set(id, total);
+    this.facts.set(id, facts);
   }
 
   /** A submission may still take effect after its answer was lost; then this gateway runs it. */
@@ -278,8 +378,7 @@
       await environment.pause(UNSETTLED_LOOK_MS);
       const state = await store.readHead(job.id);
       if (state && state !== jobStores.UNREADABLE) {
-        const isOwn = state.head.owner?.incarnation === environment.incarnation;
-        if (isOwn && !this.owned.has(job.id)) await this.adopt(job.id, state);
+        if (store.isOwn(state.head) && !this.owned.has(job.id)) await this.adopt(job.id, state);
         return;
       }
     }
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -48,12 +48,13 @@
     return this.store.nowMs;
   }
 
-  /** Stores a new job that this process runs. Conflict means that the job exists. */
+  /** Stores a new job for the gateway that is to run it. Conflict means that the job exists. */
   async create(
     job: jobs.BatchJob,
+    owner: records.JobOwner = this.self,
   ): Promise<{ readonly outcome: stores.TransactionOutcome; readonly head: records.JobHead }> {
     const head: records.JobHead = {
-      owner: this.self,
+      owner: { vm: owner.vm, incarnation: owner.incarnation },
       isEnded: false,
       isFinished: false,
       total: job.items.length,
@@ -68,7 +69,9 @@
       writeId: this.createWriteId(),
     };
     const open = { table: records.OPEN_TABLE, partition: job.id, key: records.OPEN_KEY };
-    const rows = [...records.createItemRows(job), { ...open, value: Buffer.from('1') }];
+    const notices =
+      owner.vm === this.self.vm ? [] : [createNotice(job.id, records.Notice.Assigned, owner.vm)];
+    const rows = [...records.createItemRows(job), { ...open, value: Buffer.from('1') }, ...notices];
     const batches = splitRows(rows);
     const last = batches.pop() ?? [];
     // Rows without a head mean nothing, so a job that needs several transactions exists as a
@@ -238,6 +241,12 @@
     return settled.settleTransaction(this.store, transaction, marker ?? fallback, options);
   }
 
+  /** Whether this process owns a job with this head. */
+  isOwn(head: records.JobHead): boolean {
+    const { vm, incarnation } = this.self;
+    return head.owner?.vm === vm && head.owner.incarnation === incarnation;
+  }
+
   private get self(): records.JobOwner {
     return { vm: this.environment.vm, incarnation: this.environment.incarnation };
   }
@@ -280,12 +289,12 @@
   return splitRows(rows)[0] ?? [];
 }
 
-function createNotice(id: string, notice: records.Notice): stores.RowWrite {
+function createNotice(id: string, notice: records.Notice, value: string = notice): stores.RowWrite {
   return {
     table: records.NOTICES_TABLE,
     partition: id,
     key: notice,
-    value: Buffer.from(notice),
+    value: Buffer.from(value),
   };
 }
 
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -242,12 +242,8 @@
       return;
     }
     if (!state || state.head.isEnded) this.close(JobClosing.Ended);
-    else if (this.isOwn(state) && state.head.listed === this.results.length) this.state = state;
+    else if (this.parts.store.isOwn(state.head) && state.head.listed === this.results.length)
+      this.state = state;
     else this.close(JobClosing.Lost);
   }
-
-  private isOwn(state: jobStores.HeadState): boolean {
-    const { vm, incarnation } = this.parts.environment;
-    return state.head.owner?.vm === vm && state.head.owner.incarnation === incarnation;
-  }
 }
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -19,20 +19,24 @@
 const DEADLINE_MS = 1500;
 /** Pauses between calls that found no replica or no answer, in milliseconds. */
 const PAUSE_MS = 60;
-/** Answers with a server error after which an item may be given up, beyond the call's own retries. */
-const MOST_FAILED_CALLS = 2;
 const FIRST_OK = 200;
 const FIRST_BEYOND_OK = 300;
 
-/** Asks until there is a score, the call has failed for good, or the job is closed. */
+/**
+ * Asks until there is a score, as many answers were failures as the route allows attempts, or the
+ * job is closed.
+ * @param leastAttempts the attempts that the item's own route allows
+ */
 export async function askScore(
   parts: ScoringParts,
   job: ownedJobs.OwnedJob,
   entry: progress.ItemProgress,
+  leastAttempts: number,
 ): Promise<ScoringEnd> {
   const { scoring } = entry.item;
   if (!scoring || entry.score !== undefined) return 'scored';
-  let failedCalls = 0;
+  const path = scoring.path.split('?')[0] ?? scoring.path;
+  let failedAnswers = 0;
   while (job.isOpen) {
     const end = await parts.forwarder.send({
       request: {
@@ -43,7 +47,7 @@
         headers: [],
         body: scoring.body,
       },
-      path: scoring.path.split('?')[0] ?? scoring.path,
+      path,
       deadlineMs: DEADLINE_MS,
       signal: new AbortController().signal,
     });
@@ -53,16 +57,17 @@
       entry.score = answer.signature;
       return 'scored';
     }
-    if (end.failedAnswers > 0 && end.failedAnswers === end.attempts) failedCalls += 1;
+    failedAnswers += end.failedAnswers;
+    const mostAttempts = Math.max(parts.forwarder.countAttempts(scoring.host, path), leastAttempts);
     parts.environment.log.change('scoring failed', {
       job: job.id,
       item: entry.item.id,
       request: scoring.id,
       attempts: end.attempts,
-      failedAnswers: end.failedAnswers,
-      failedCalls,
+      failedAnswers,
+      mostAttempts,
     });
-    if (failedCalls >= MOST_FAILED_CALLS) return 'failed';
+    if (failedAnswers >= mostAttempts) return 'failed';
     await parts.environment.pause(PAUSE_MS);
   }
   return 'abandoned';
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -50,7 +50,8 @@
 const SILENCE_MS = 700;
 const OK = 200;
 const UNPROCESSABLE = 422;
-const FIRST_SERVER_ERROR = 500;
+/** The only answer that counts as a failure of the item itself. */
+const INTERNAL_ERROR = 500;
 /** An ordinary urgency of requests to replicas. */
 const ORDINARY_PRIORITY = 5;
 
@@ -154,7 +155,7 @@
     const { status } = outcome.answer;
     if (status === OK) return { kind: this.abort.signal.aborted ? 'broken' : 'whole' };
     if (status === UNPROCESSABLE) return { kind: 'impossible' };
-    return { kind: status >= FIRST_SERVER_ERROR ? 'failed-answer' : 'broken' };
+    return { kind: status === INTERNAL_ERROR ? 'failed-answer' : 'broken' };
   }
 
   private judgeReplica(outcome: replicas.StreamOutcome, nowMs: number): void {
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -1,11 +1,10 @@
 /**
  * Finds batch jobs that nobody runs and takes over those that fall to this gateway.
  *
- * A job whose owner was restarted falls to the new process on the same VM; any other to the live
- * gateway that ranks first for it. Two gateways that disagree on who lives may both try: the head
+ * A job whose owner was restarted falls to the new process on the same VM; any other to the
+ * gateway that runs the jobs of its model now. Two gateways that disagree on who lives may both try: the head
  * row decides.
  */
-import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import type * as environments from '../types/environment';
 import type * as stores from '../types/store';
@@ -13,6 +12,7 @@
 import * as records from './job-record';
 import type * as jobServices from './job-service';
 import * as jobStores from './job-store';
+import * as runnerChoices from './runner-choice';
 
 /** What the task needs. */
 export interface TakeoverParts {
@@ -21,7 +21,7 @@
   readonly service: jobServices.JobService;
   readonly members: {
     isGone(vm: string, incarnation: string): boolean;
-    listLiveVms(): string[];
+    listWorkers(): readonly runnerChoices.RunnerCandidate[];
   };
 }
 
@@ -72,9 +72,13 @@
   }
 
   change(changes: readonly stores.RowChange[]): void {
-    const ended = changes.filter((change) => change.key === records.Notice.Ended);
-    ended.forEach((change) => this.parts.service.learnEnd(change.partition));
-    if (ended.length < changes.length) this.search();
+    changes.forEach((change) => {
+      if (change.key === records.Notice.Ended) this.parts.service.learnEnd(change.partition);
+      if (change.key === records.Notice.Released) this.search();
+      const vm = change.value.toString();
+      if (change.key !== records.Notice.Assigned || vm !== this.parts.environment.vm) return;
+      this.consider(change.partition);
+    });
   }
 
   private plan(delayMs: number): void {
@@ -110,9 +114,10 @@
     const state = await store.readHead(id);
     if (state === jobStores.UNREADABLE) return false;
     if (!state || state.head.isEnded || state.head.isFinished) return true;
-    if (!this.isOrphan(state.head) || !this.isMine(id, state.head)) return true;
+    const isAssigned = store.isOwn(state.head);
+    if (!isAssigned && !(this.isOrphan(state.head) && this.isMine(state.head))) return true;
     const isTaken = await service.adopt(id, state);
-    environment.log.change('job taken over', {
+    environment.log.change(isAssigned ? 'job received' : 'job taken over', {
       job: id,
       isTaken,
       formerOwner: state.head.owner?.vm ?? 'none',
@@ -120,7 +125,8 @@
       listed: state.head.listed,
       total: state.head.total,
     });
-    environment.metrics.count('jobs_taken_over', { outcome: isTaken ? 'taken' : 'lost' });
+    const reason = isAssigned ? 'assigned' : 'orphaned';
+    environment.metrics.count('jobs_taken_over', { reason, isTaken: String(isTaken) });
     return isTaken;
   }
 
@@ -129,10 +135,11 @@
     return owner === null || this.parts.members.isGone(owner.vm, owner.incarnation);
   }
 
-  private isMine(id: string, head: records.JobHead): boolean {
-    const live = this.parts.members.listLiveVms();
+  private isMine(head: records.JobHead): boolean {
+    const { vm } = this.parts.environment;
+    const workers = this.parts.members.listWorkers();
     const { owner } = head;
-    if (owner !== null && live.includes(owner.vm)) return owner.vm === this.parts.environment.vm;
-    return decisions.chooseNode(id, live) === this.parts.environment.vm;
+    if (owner !== null && workers.some((worker) => worker.vm === owner.vm)) return owner.vm === vm;
+    return runnerChoices.chooseRunner(head.model, workers)?.vm === vm;
   }
 }
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -31,6 +31,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private isStopping = false;
+
   private isStopped = false;
 
   private trustedUntilMs = -Infinity;
@@ -51,6 +53,12 @@
     return Promise.resolve();
   }
 
+  /** Tells the others that this gateway takes no new work. */
+  async announceStop(): Promise<void> {
+    this.isStopping = true;
+    await this.renew();
+  }
+
   /** Removes the own row, so that the others need not wait for it to lapse. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -71,10 +79,15 @@
     return this.view.isGone(vm, incarnation);
   }
 
-  /** The VMs whose gateways live, this one included. */
-  listLiveVms(): string[] {
-    const others = this.listPeers().map((record) => record.vm);
-    return [this.parts.environment.vm, ...others];
+  /** The gateways that live and take new work, this one included. */
+  listWorkers(): membership.MemberRecord[] {
+    const others = this.listPeers().filter((record) => !record.isStopping);
+    return this.isStopping ? others : [this.self, ...others];
+  }
+
+  /** A gateway that lives; undefined when it is not known or gone. */
+  find(vm: string): membership.MemberRecord | undefined {
+    return this.listPeers().find((record) => record.vm === vm);
   }
 
   /** The other gateways that live. */
@@ -83,6 +96,20 @@
     return this.view.listLive().filter((record) => record.vm !== vm);
   }
 
+  private get self(): membership.MemberRecord {
+    const { vm, incarnation, peerAddress, failureDomain, capacity } = this.parts.environment;
+    const { isStopping } = this;
+    return {
+      vm,
+      incarnation,
+      address: peerAddress,
+      failureDomain,
+      capacity,
+      isStopping,
+      revision: 0,
+    };
+  }
+
   private get address(): stores.RowAddress {
     const { failureDomain, vm } = this.parts.environment;
     return { table: MEMBERS_TABLE, partition: failureDomain, key: vm };
@@ -103,8 +130,8 @@
     const { environment, store } = this.parts;
     const sentMs = environment.nowMs();
     this.suspension.look();
-    const { incarnation, peerAddress } = environment;
-    const value = Buffer.from(JSON.stringify({ incarnation, address: peerAddress }));
+    const { incarnation, address, capacity, isStopping } = this.self;
+    const value = Buffer.from(JSON.stringify({ incarnation, address, capacity, isStopping }));
     const write = { ...this.address, value };
     const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
     if (outcome.status !== stores.StoreStatus.Done) return false;
@@ -130,7 +157,9 @@
   private announce(): void {
     const live = this.view
       .listLive()
-      .map((record) => `${record.vm}#${record.incarnation}`)
+      .map(({ vm, incarnation, isStopping }) =>
+        isStopping ? `${vm}#${incarnation} (stopping)` : `${vm}#${incarnation}`,
+      )
       .sort()
       .join(' ');
     if (live === this.live) return;
@@ -142,10 +171,21 @@
 
 function decodeRecord(row: stores.Row): membership.MemberRecord[] {
   try {
-    const { incarnation, address } = JSON.parse(row.value.toString()) as Record<string, unknown>;
+    const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
+    const { incarnation, address, capacity, isStopping } = value;
     if (typeof incarnation !== 'string' || typeof address !== 'string') return [];
     const { key, partition, revision } = row;
-    return [{ vm: key, failureDomain: partition, incarnation, address, revision }];
+    return [
+      {
+        vm: key,
+        failureDomain: partition,
+        incarnation,
+        address,
+        capacity: typeof capacity === 'number' ? capacity : 0,
+        isStopping: isStopping === true,
+        revision,
+      },
+    ];
   } catch {
     // A row that is not JSON was not written by a gateway; it names no member.
     return [];
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -12,6 +12,10 @@
   readonly incarnation: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Processor time that its VM has, in cores of an ordinary machine. */
+  readonly capacity: number;
+  /** Whether it is about to stop, and takes no new work. */
+  readonly isStopping: boolean;
   /** The revision of the row. */
   readonly revision: number;
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -70,6 +70,11 @@
     return reply;
   }
 
+  /** To how many replicas a request for this host and path may be sent; 0 without a route. */
+  countAttempts(host: string, path: string): number {
+    return this.parts.configuration.routeTable?.find(host, path)?.mostAttempts ?? 0;
+  }
+
   /** Sends a request of the gateway's own to the service of the route for its host and path. */
   async send(own: OwnRequest): Promise<plainCalls.PlainCallEnd> {
     const route = this.parts.configuration.routeTable?.find(own.request.host, own.path);
--- a/packages/gateway/src/types/environment.ts
+++ b/packages/gateway/src/types/environment.ts
@@ -10,6 +10,8 @@
   /** Differs between all processes that ever ran. */
   readonly incarnation: string;
   readonly failureDomain: string;
+  /** Processor time that this VM has, in cores of an ordinary machine. */
+  readonly capacity: number;
   /** Where peers reach this process. */
   readonly peerAddress: string;
   readonly log: runtime.Log;
