--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -229,7 +229,10 @@
     const job = systems.createJob('second', 1, 2);
     await settle(accepting.jobs.submit(job));
     await settle(runner.release());
-    await time.pass(2500);
+    // Sooner than the rows of the members are read again.
+    await time.pass(300);
+    expect(all.some((candidate) => candidate.jobs.has('second'))).toBe(true);
+    await time.pass(1000);
     expect(runner.jobs.has('second')).toBe(false);
     expectWhole(await settle(readAll(accepting, 'second')), job);
   });
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -26,6 +26,7 @@
 /** What a notice tells; also its key. */
 export const Notice = {
   Ended: 'ended',
+  /** The gateway on the VM that is the value stops, and gave the job back. */
   Released: 'released',
   /** The job was accepted for another gateway, whose VM is the value. */
   Assigned: 'assigned',
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -198,7 +198,7 @@
     state: HeadState,
     partials: readonly IndexedPartial[],
   ): Promise<ChangeOutcome> {
-    const notice = createNotice(id, records.Notice.Released);
+    const notice = createNotice(id, records.Notice.Released, this.self.vm);
     const rows = createPartialRows(id, partials);
     return this.change(id, state, { owner: null }, [...rows, notice], []);
   }
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -21,6 +21,7 @@
   readonly service: jobServices.JobService;
   readonly members: {
     isGone(vm: string, incarnation: string): boolean;
+    noteStopping(vm: string): void;
     listWorkers(): readonly runnerChoices.RunnerCandidate[];
   };
 }
@@ -74,10 +75,13 @@
   change(changes: readonly stores.RowChange[]): void {
     changes.forEach((change) => {
       if (change.key === records.Notice.Ended) this.parts.service.learnEnd(change.partition);
-      if (change.key === records.Notice.Released) this.search();
       const vm = change.value.toString();
-      if (change.key !== records.Notice.Assigned || vm !== this.parts.environment.vm) return;
-      this.consider(change.partition);
+      const isOwn = vm === this.parts.environment.vm;
+      if (change.key === records.Notice.Released && !isOwn) {
+        this.parts.members.noteStopping(vm);
+        this.consider(change.partition);
+      }
+      if (change.key === records.Notice.Assigned && isOwn) this.consider(change.partition);
     });
   }
 
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -31,6 +31,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly leaving = new Set<string>();
+
   private isStopping = false;
 
   private isStopped = false;
@@ -79,9 +81,17 @@
     return this.view.isGone(vm, incarnation);
   }
 
+  /** Learns that a gateway is about to stop, before its row was read. */
+  noteStopping(vm: string): void {
+    const record = this.find(vm);
+    if (record) this.leaving.add(`${vm}#${record.incarnation}`);
+  }
+
   /** The gateways that live and take new work, this one included. */
   listWorkers(): membership.MemberRecord[] {
-    const others = this.listPeers().filter((record) => !record.isStopping);
+    const others = this.listPeers().filter(
+      ({ vm, incarnation, isStopping }) => !isStopping && !this.leaving.has(`${vm}#${incarnation}`),
+    );
     return this.isStopping ? others : [this.self, ...others];
   }
 
