--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -64,6 +64,7 @@
     files: [
       'packages/*/src/bin/*.ts',
       'platform/src/bin/*.ts',
+      'platform/src/standins/*.ts',
       'packages/standins/**/*.ts',
       'packages/client/**/*.ts',
     ],
