--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -39,8 +39,11 @@
   readonly leaseMs: number;
 }
 
-/** A request's reply: an answer, a failure, or the acceptance of a batch job. */
-export type GatewayReply = exchanges.Reply | { readonly kind: 'accepted' };
+/** A request's reply: an answer, a failure, a stream that ended, or the acceptance of a batch job. */
+export type GatewayReply =
+  | exchanges.Reply
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'streamed'; readonly isWhole: boolean };
 
 /** One gateway. */
 export class Gateway {
@@ -182,11 +185,17 @@
   }
 
   /** Handles a request that is for a route. */
-  async handle(caller: exchanges.CallerRequest): Promise<GatewayReply> {
+  async handle(
+    caller: exchanges.CallerRequest,
+    replyStream: exchanges.ReplyStream,
+  ): Promise<GatewayReply> {
     const { routeTable } = this.configuration;
     if (!routeTable) return this.fail(caller, 'no-configuration', 'nothing was read yet');
     const route = routeTable.find(caller.request.host, caller.path);
     if (!route) return this.fail(caller, 'unknown-route', `${caller.request.host}${caller.path}`);
+    if (route.kind === configurations.RouteKind.Streaming) {
+      return this.forwarder.forwardStream(caller, route, replyStream);
+    }
     if (route.kind !== configurations.RouteKind.Rollout) {
       return this.forwarder.forward(caller, route);
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,5 +54,5 @@
   ResultState,
   type ScoringCall,
 } from './types/batch-job';
-export type { CallerRequest, Reply } from './types/exchange';
+export type { CallerRequest, Reply, ReplyStream } from './types/exchange';
 export type { Answer, Peers, ResultsPage } from './jobs/job-service';
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -11,6 +11,7 @@
 import * as placement from '../replicas/placement';
 import * as routeTables from '../configuration/route-table';
 import * as plainCalls from './plain-call';
+import * as streamCalls from './stream-call';
 
 /** What the forwarder needs. */
 export interface ForwarderParts {
@@ -33,6 +34,8 @@
  * late enough that few sound replicas are asked twice, early enough to answer in time.
  */
 const PATIENCE_SHARE = 0.5;
+/** How long a replica of a resumable stream may be silent before another goes on, in milliseconds. */
+const STREAM_SILENCE_MS = 1000;
 
 /** Forwards plain requests. */
 export class Forwarder {
@@ -47,27 +50,67 @@
     caller: exchanges.CallerRequest,
     route: configurations.Route,
   ): Promise<exchanges.Reply> {
-    const { environment } = this.parts;
     const deadlineMs = Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
     const end = await this.call(caller, route, {
       callerEndMs: caller.receivedMs + (caller.deadlineMs ?? route.timeoutMs),
       endMs: caller.receivedMs + deadlineMs,
     });
+    this.report(caller, route, describeReply(end.reply), end.attempts);
+    return end.reply;
+  }
+
+  /** Forwards a streaming request of a caller. */
+  async forwardStream(
+    caller: exchanges.CallerRequest,
+    route: configurations.Route,
+    replyStream: exchanges.ReplyStream,
+  ): Promise<streamCalls.StreamCallEnd['reply']> {
+    const { environment, caller: replicaCaller } = this.parts;
+    const { request, signal, afterEvent } = caller;
+    const service = routeTables.chooseService(route, environment.random());
+    const call = streamCalls.StreamCall.create(
+      {
+        caller: replicaCaller,
+        nowMs: environment.nowMs,
+        choose: (tried) => this.choose(service, tried),
+        note: (known, outcome, tookMs) => this.note(known, request.id, outcome, tookMs),
+      },
+      {
+        request,
+        signal,
+        afterEvent,
+        isResumable: route.isResumable,
+        mostAttempts: route.mostAttempts,
+        callerEndMs: caller.receivedMs + (caller.deadlineMs ?? route.timeoutMs),
+        endMs: caller.receivedMs + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs),
+        silenceMs: STREAM_SILENCE_MS,
+      },
+      replyStream,
+    );
+    const { reply, attempts } = await call.run();
+    this.report(caller, route, describeReply(reply), attempts);
+    return reply;
+  }
+
+  private report(
+    caller: exchanges.CallerRequest,
+    route: configurations.Route,
+    outcome: string,
+    attempts: number,
+  ): void {
+    const { environment, configuration } = this.parts;
     const tookMs = environment.nowMs() - caller.receivedMs;
-    const { reply } = end;
-    const outcome = reply.kind === 'answer' ? String(reply.answer.status) : reply.failure.code;
     environment.metrics.record('request', { route: route.name, kind: route.kind }, tookMs);
     environment.metrics.count('requests', { route: route.name, outcome });
     environment.log.change('request answered', {
       request: caller.request.id,
       route: route.name,
       outcome,
-      attempts: end.attempts,
+      attempts,
       tookMs: Math.round(tookMs),
-      deadlineMs: Math.round(deadlineMs),
-      configuration: this.parts.configuration.current?.version,
+      deadlineMs: caller.deadlineMs,
+      configuration: configuration.current?.version,
     });
-    return reply;
   }
 
   /** To how many replicas a request for this host and path may be sent; 0 without a route. */
@@ -164,3 +207,8 @@
     });
   }
 }
+
+function describeReply(reply: streamCalls.StreamCallEnd['reply']): string {
+  if (reply.kind === 'streamed') return reply.isWhole ? 'streamed' : 'broken off';
+  return reply.kind === 'answer' ? String(reply.answer.status) : reply.failure.code;
+}
