--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -219,7 +219,15 @@
       const outcome = await this.parts.store.append(this.id, this.state, this.ready);
       if (outcome.status === stores.StoreStatus.Done) this.takeListed(outcome.state);
       else if (outcome.status === stores.StoreStatus.Conflict) await this.learnOwner();
-      else await this.parts.environment.pause(LISTING_PAUSE_MS);
+      else {
+        this.parts.environment.log.warn('listing failed, trying again', {
+          job: this.id,
+          outcome: outcome.status,
+          ready: this.ready.length,
+          revision: this.state.revision,
+        });
+        await this.parts.environment.pause(LISTING_PAUSE_MS);
+      }
     }
     this.isListing = false;
   }
@@ -230,6 +238,14 @@
     this.state = state;
     this.results.push(...listed);
     this.parts.environment.metrics.count('results_listed', {}, count);
+    this.parts.environment.log.change('results listed', {
+      job: this.id,
+      items: listed.map((result) => result.itemId).join(','),
+      listed: this.results.length,
+      total: state.head.total,
+      revision: state.revision,
+      ageMs: Math.round(this.parts.store.nowMs - state.head.submittedMs),
+    });
     if (state.head.isFinished) this.close(JobClosing.Finished);
     else this.wakeReaders();
   }
