--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -296,6 +296,26 @@
     expect(body).toMatchObject({ isOk: false, failure: { code: 'unknown-item' } });
   });
 
+  it('does not hide results whose listing lost its answer when the job was ended', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 1, 2);
+    system.replicas.lengths.set('job-0', 3);
+    system.replicas.lengths.set('job-1', 500);
+    await settle(first.jobs.submit(job));
+    const owner = first.jobs.has('job') ? first : second;
+    const other = owner === first ? second : first;
+    system.store.faults.loseAnswers = 1;
+    await time.pass(60);
+    // The listing of the first result took effect, and its owner does not know yet.
+    expect(system.store.inspect('results')).toHaveLength(1);
+    await settle(other.jobs.end('job'));
+    await time.pass(1000);
+    const results = await settle(readAll(other, 'job'));
+    expect(results.map((result) => result.itemId)).toEqual(['job-0']);
+    expect(await settle(readAll(owner, 'job'))).toEqual(results);
+  });
+
   it('gives the body of an item that is not listed, at every gateway', async () => {
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -282,9 +282,7 @@
   private forgetSoon(job: ownedJobs.OwnedJob): void {
     this.parts.runner.remove(job);
     job.items.forEach((entry) => this.texts.keepFrom(entry));
-    const isComplete =
-      job.closing === ownedJobs.JobClosing.Finished || job.closing === ownedJobs.JobClosing.Ended;
-    if (!isComplete) this.owned.delete(job.id);
+    if (!job.isComplete) this.owned.delete(job.id);
   }
 
   private readOwned(
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -64,6 +64,8 @@
 
   private isListing = false;
 
+  private isInDoubt = false;
+
   private checkpointTimer: NodeJS.Timeout | undefined;
 
   private readonly readers = new Set<() => void>();
@@ -97,6 +99,15 @@
     return this.closing === undefined;
   }
 
+  /**
+   * Whether the results known here are all that are listed. A job that was ended while a listing
+   * had no answer may have more of them in the store.
+   */
+  get isComplete(): boolean {
+    if (this.closing === JobClosing.Finished) return true;
+    return this.closing === JobClosing.Ended && !this.isInDoubt;
+  }
+
   /** The items that are in one of the phases. */
   listItems(...phases: progress.ItemPhase[]): progress.ItemProgress[] {
     return [...this.items.values()].filter((entry) => phases.includes(entry.phase));
@@ -181,6 +192,7 @@
   close(closing: JobClosing): void {
     if (!this.isOpen) return;
     this.closing = closing;
+    this.isInDoubt = closing !== JobClosing.Finished && this.isListing;
     clearInterval(this.checkpointTimer);
     this.items.forEach((entry) => entry.abort?.abort());
     this.parts.environment.log.change('job closed', {
