--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -316,6 +316,18 @@
     expect(await settle(readAll(owner, 'job'))).toEqual(results);
   });
 
+  it('removes a job from the store once nobody can ask for it any more', async () => {
+    const first = await system.start('vm-1');
+    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    await time.pass(110_000);
+    expect(await settle(readAll(first, 'job'))).toHaveLength(2);
+    await time.pass(90_000);
+    const left = ['jobs', 'results', 'partials', 'notices', 'open'].flatMap((table) =>
+      system.store.inspect(table),
+    );
+    expect(left).toHaveLength(0);
+  });
+
   it('gives the body of an item that is not listed, at every gateway', async () => {
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
--- a/packages/gateway/__tests__/support/small-system.ts
+++ b/packages/gateway/__tests__/support/small-system.ts
@@ -183,6 +183,7 @@
       decodeReplica,
       decodeJob: () => 'not used',
       leaseMs: 3000,
+      keepJobsMs: 120_000,
     });
     this.running.push(started);
     this.byAddress.set(`${vm}:1`, started);
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -37,6 +37,8 @@
   /** Reads a submission; an error text when it is not one. */
   readonly decodeJob: (request: exchanges.CallerRequest) => jobs.BatchJob | string;
   readonly leaseMs: number;
+  /** How long a batch job can be read after its submission, in milliseconds. */
+  readonly keepJobsMs: number;
 }
 
 /** A request's reply: an answer, a failure, a stream that ended, or the acceptance of a batch job. */
@@ -61,11 +63,14 @@
 
   private readonly tree: runtime.Supervisor;
 
+  private seeds: readonly string[];
+
   private isStopping = false;
 
   private constructor(private readonly parts: GatewayParts) {
     const { environment, caller } = parts;
     const { log, metrics, nowMs } = environment;
+    this.seeds = parts.seeds;
     this.store = routedStores.RoutedStore.create({
       direct: parts.directStore,
       relays: { listRelays: () => this.listRelays() },
@@ -107,6 +112,7 @@
       isTrusted: () => this.members.isTrusted,
       listWorkers: () => this.members.listWorkers(),
       peers: parts.peers,
+      keepMs: parts.keepJobsMs,
     });
     this.takeover = takeoverTasks.TakeoverTask.create({
       environment,
@@ -221,14 +227,19 @@
     return { kind: 'failure', failure: decisions.createFailure(code, { detail }) };
   }
 
+  /** Takes over other addresses at which peers may be. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   private listRelays(): string[] {
-    const { seeds, environment } = this.parts;
+    const { environment } = this.parts;
     const peers = this.members.listPeers();
     const near = peers.filter((peer) => peer.failureDomain === environment.failureDomain);
     const far = peers.filter((peer) => peer.failureDomain !== environment.failureDomain);
     const ordered = [...shuffle(near, environment.random), ...shuffle(far, environment.random)];
     const addresses = ordered.map((peer) => peer.address);
-    const others = seeds.filter((seed) => seed !== environment.peerAddress);
+    const others = this.seeds.filter((seed) => seed !== environment.peerAddress);
     return [...addresses, ...others.filter((seed) => !addresses.includes(seed))];
   }
 }
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -27,6 +27,8 @@
   /** The gateways that take new work. */
   readonly listWorkers: () => readonly Worker[];
   readonly peers: Peers;
+  /** How long a job can be read after its submission, in milliseconds. */
+  readonly keepMs: number;
 }
 
 /** A gateway that takes new work. */
@@ -70,6 +72,10 @@
 
 /** Jobs of which the unchanging facts are remembered, at the most. */
 const MOST_REMEMBERED = 2000;
+/** How long results of a closed job are held in memory; later reads go to the store. */
+const KEEP_CLOSED_MS = 20_000;
+/** How much longer than it must be readable a job stays in the store, in milliseconds. */
+const DISCARD_SLACK_MS = 60_000;
 /** How often a reader's gateway looks into the store for new results, in milliseconds. */
 const LOOK_MS = 200;
 /** When a caller that was refused may come back: a lapse of the store is usually short. */
@@ -280,9 +286,21 @@
   }
 
   private forgetSoon(job: ownedJobs.OwnedJob): void {
-    this.parts.runner.remove(job);
-    job.items.forEach((entry) => this.texts.keepFrom(entry));
-    if (!job.isComplete) this.owned.delete(job.id);
+    const { runner, environment, store, keepMs } = this.parts;
+    runner.remove(job);
+    const listed = new Set(job.results.map((result) => result.itemId));
+    job.items.forEach((entry) => {
+      if (!listed.has(entry.item.id)) this.texts.keepFrom(entry);
+    });
+    if (!job.isComplete) {
+      this.owned.delete(job.id);
+      return;
+    }
+    environment.pause(KEEP_CLOSED_MS).then(() => this.owned.delete(job.id));
+    const ageMs = store.nowMs - job.head.submittedMs;
+    environment
+      .pause(Math.max(0, keepMs - ageMs) + DISCARD_SLACK_MS)
+      .then(() => store.discard(job.id));
   }
 
   private readOwned(
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -215,6 +215,25 @@
     return this.store.transact({ conditions: [], writes, removals: [] });
   }
 
+  /** Removes all rows of a job that nobody can ask for any more; its head goes last. */
+  async discard(id: string): Promise<void> {
+    const tables = [
+      records.RESULTS_TABLE,
+      records.PARTIALS_TABLE,
+      records.NOTICES_TABLE,
+      records.JOBS_TABLE,
+    ];
+    for (const table of tables) {
+      const outcome = await this.store.read({ table, partition: id });
+      const rows = outcome.status === stores.StoreStatus.Done ? [...outcome.rows].reverse() : [];
+      for (let start = 0; start < rows.length; start += TRANSACTION_ROWS) {
+        const removals = rows.slice(start, start + TRANSACTION_ROWS);
+        const done = await this.store.transact({ conditions: [], writes: [], removals });
+        this.environment.metrics.count('rows_discarded', { outcome: done.status }, removals.length);
+      }
+    }
+  }
+
   private async change(
     id: string,
     state: HeadState,
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -14,7 +14,7 @@
 }
 
 /** Texts that are kept at the most. */
-const MOST_TEXTS = 4000;
+const MOST_TEXTS = 1000;
 
 /** The kept texts of one gateway. */
 export class PartialTexts {
