--- a/packages/standins/__tests__/matrix/checker.ts
+++ b/packages/standins/__tests__/matrix/checker.ts
@@ -138,7 +138,11 @@
     const isWhole = finished.some((run) => run.versions.every((version) => named.has(version)));
     return isMadeUp || !isWhole;
   };
-  return expectNone('labels are true', labels.filter(isFalse).length, 'mislabelled');
+  const mislabelled = labels.filter(isFalse);
+  // What the engines logged of them goes with the finding, so that its cause can be told.
+  const evidence = mislabelled.map((label) => ({ label, runs: runsById.get(label.id) ?? [] }));
+  const detail = `mislabelled: ${JSON.stringify(evidence)}`;
+  return expectNone('labels are true', mislabelled.length, detail);
 }
 
 function checkLeaving(
