Read labels before the logs that they are judged by

A sample that finished in between was judged by a log in which its run was still under way or absent. The label itself is true, so nothing changes in the product. Labels are now read first; every label is still judged, by a log that is at least as new.

--- a/packages/standins/__tests__/matrix/checker.ts
+++ b/packages/standins/__tests__/matrix/checker.ts
@@ -41,8 +41,10 @@
   workload: workloads.Workload,
   stalenessBound: number,
 ): Promise<Violation[]> {
-  const logs = await Promise.all(workload.fleet.targets.map(readLog));
+  // The trainer goes on meanwhile. Its labels are read first, so that the logs hold every run that
+  // made one of them; what it gets later is judged in the next round.
   const trainer = await workload.readTrainer();
+  const logs = await Promise.all(workload.fleet.targets.map(readLog));
   const { report, refusedIds } = workload.caller;
   const bookings = logs.flatMap((log) => log.bookings.map((booking) => booking.requestId));
   const ran = new Set(bookings);
