--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -316,6 +316,22 @@
     expect(await settle(readAll(owner, 'job'))).toEqual(results);
   });
 
+  it('does not hide results while their listing has no answer', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    const job = systems.createJob('job', 1, 2);
+    system.replicas.lengths.set('job-0', 3);
+    system.replicas.lengths.set('job-1', 500);
+    await settle(first.jobs.submit(job));
+    const owner = first.jobs.has('job') ? first : second;
+    const other = owner === first ? second : first;
+    system.store.faults.loseAnswers = 6;
+    await time.pass(60);
+    const results = await settle(readAll(other, 'job'));
+    expect(results.map((result) => result.itemId)).toEqual(['job-0']);
+    expect(await settle(readAll(owner, 'job'))).toEqual(results);
+  });
+
   it('removes a job from the store once nobody can ask for it any more', async () => {
     const first = await system.start('vm-1');
     await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -198,7 +198,7 @@
       const owned = this.owned.get(id);
       const page = owned ? this.readOwned(owned, position, isLast) : undefined;
       if (page) return { isOk: true, value: page };
-      if (owned && this.isAuthority(owned)) await owned.waitForResult(leftMs, signal);
+      if (owned && !isLast && this.isAuthority(owned)) await owned.waitForResult(leftMs, signal);
       else {
         const read = await this.readStored(id, position);
         if (!read.isOk || read.value.results.length > 0 || isLast) return read;
@@ -310,7 +310,8 @@
   ): ResultsPage | undefined {
     const results = job.results.slice(position);
     const isSettled = !job.isOpen || isLast;
-    const isSure = this.isAuthority(job);
+    // A listing without an answer may be in force, and others may have read it.
+    const isSure = this.isAuthority(job) && !(job.isOpen && job.isBeingListed);
     if (results.length === 0 && !(isSettled && isSure)) return undefined;
     return { total: job.head.total, results };
   }
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -108,6 +108,11 @@
     return this.closing === JobClosing.Ended && !this.isInDoubt;
   }
 
+  /** Whether a listing is under way that may already be in force. */
+  get isBeingListed(): boolean {
+    return this.isListing;
+  }
+
   /** The items that are in one of the phases. */
   listItems(...phases: progress.ItemPhase[]): progress.ItemProgress[] {
     return [...this.items.values()].filter((entry) => phases.includes(entry.phase));
