--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -40,8 +40,3 @@
   });
   return (chosen ?? route.services.find((share) => share.weight > 0))?.service;
 }
-
-/** Whether a service may run requests of a route. */
-export function isAllowed(route: configurations.Route, service: string): boolean {
-  return route.services.some((share) => share.service === service && share.weight > 0);
-}
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -161,29 +161,6 @@
     return isAdopted;
   }
 
-  /** A job that was assigned to this gateway although it stops goes to another. */
-  private async handOn(id: string, state: jobStores.HeadState): Promise<false> {
-    const { store } = this.parts;
-    if (store.isOwn(state.head)) await store.release(id, state, []);
-    return false;
-  }
-
-  private async claimAndLoad(id: string, state: jobStores.HeadState): Promise<boolean> {
-    const { store } = this.parts;
-    const claimed: jobStores.ChangeOutcome = store.isOwn(state.head)
-      ? { status: stores.StoreStatus.Done, state }
-      : await store.claim(id, state);
-    if (claimed.status !== stores.StoreStatus.Done) return false;
-    const loaded = await store.load(id);
-    if (loaded === jobStores.UNREADABLE) return false;
-    if (this.isStopping) return this.handOn(id, claimed.state);
-    const { items, results, partials } = loaded;
-    this.owned.delete(id);
-    partials.forEach((text) => this.texts.keep(text));
-    this.own({ id, state: claimed.state, items, results });
-    return true;
-  }
-
   /** Results from `position` on; waits up to `waitMs` for the first. */
   async read(
     id: string,
@@ -207,6 +184,22 @@
     }
   }
 
+  /** See Peers.waitForResult, on the side of the gateway that runs the job. */
+  async waitForListing(
+    id: string,
+    position: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const job = this.owned.get(id);
+    if (!job) return false;
+    if (job.results.length > position) return true;
+    // Nothing more comes here, so the reader had better not ask again at once.
+    if (!job.isOpen) return false;
+    await job.waitForResult(waitMs, signal);
+    return true;
+  }
+
   /** The body of an item; a job that was ended has none any more. */
   async readBody(id: string, itemId: string): Promise<Answer<Buffer>> {
     const owned = this.owned.get(id);
@@ -266,6 +259,29 @@
     await Promise.all(open.map((job) => job.release()));
   }
 
+  /** A job that was assigned to this gateway although it stops goes to another. */
+  private async handOn(id: string, state: jobStores.HeadState): Promise<false> {
+    const { store } = this.parts;
+    if (store.isOwn(state.head)) await store.release(id, state, []);
+    return false;
+  }
+
+  private async claimAndLoad(id: string, state: jobStores.HeadState): Promise<boolean> {
+    const { store } = this.parts;
+    const claimed: jobStores.ChangeOutcome = store.isOwn(state.head)
+      ? { status: stores.StoreStatus.Done, state }
+      : await store.claim(id, state);
+    if (claimed.status !== stores.StoreStatus.Done) return false;
+    const loaded = await store.load(id);
+    if (loaded === jobStores.UNREADABLE) return false;
+    if (this.isStopping) return this.handOn(id, claimed.state);
+    const { items, results, partials } = loaded;
+    this.owned.delete(id);
+    partials.forEach((text) => this.texts.keep(text));
+    this.own({ id, state: claimed.state, items, results });
+    return true;
+  }
+
   private own(content: ownedJobs.OwnedJobContent): void {
     const { environment, store, runner } = this.parts;
     const job = ownedJobs.OwnedJob.create(
@@ -346,22 +362,6 @@
     if (facts) this.facts.set(id, { ...facts, owner: null });
   }
 
-  /** See Peers.waitForResult, on the side of the gateway that runs the job. */
-  async waitForListing(
-    id: string,
-    position: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const job = this.owned.get(id);
-    if (!job) return false;
-    if (job.results.length > position) return true;
-    // Nothing more comes here, so the reader had better not ask again at once.
-    if (!job.isOpen) return false;
-    await job.waitForResult(waitMs, signal);
-    return true;
-  }
-
   private async readStored(id: string, position: number): Promise<Answer<ResultsPage>> {
     const { store } = this.parts;
     let facts = this.facts.get(id);
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -119,8 +119,6 @@
 export interface CallOptions {
   /** How long the replica may take. */
   readonly deadlineMs: number;
-  /** The deadline that is told to the replica, where that differs. */
-  readonly toldDeadlineMs?: number;
   readonly signal: AbortSignal;
 }
 
