--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -70,6 +70,7 @@
   /** Stops running a job. */
   remove(job: ownedJobs.OwnedJob): void {
     this.jobs.delete(job.id);
+    job.items.forEach((_entry, itemId) => this.carried.delete(itemId));
     if (this.jobs.size > 0) return;
     clearInterval(this.reviewTimer);
     this.reviewTimer = undefined;
