--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -332,6 +332,16 @@
     expect(await settle(readAll(owner, 'job'))).toEqual(results);
   });
 
+  it('does not begin a job again that it runs already', async () => {
+    const first = await system.start('vm-1');
+    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    const row = system.store.inspect('jobs').find((candidate) => candidate.key === 'head');
+    const head = JSON.parse(row?.value.toString() ?? '') as never;
+    await settle(first.jobs.adopt('job', { head, revision: row?.revision ?? 0 }));
+    await time.pass(2000);
+    expect(system.replicas.runs).toHaveLength(2);
+  });
+
   it('removes a job from the store once nobody can ask for it any more', async () => {
     const first = await system.start('vm-1');
     await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -152,7 +152,9 @@
 
   /** Runs a job from now on, as it is in the store. */
   async adopt(id: string, state: jobStores.HeadState): Promise<boolean> {
-    if (this.adopting.has(id)) return false;
+    // Two searches may find the same job; begun twice, it would be listed by two that do not
+    // know of each other's results.
+    if (this.adopting.has(id) || this.owned.has(id)) return false;
     this.adopting.add(id);
     const isAdopted = this.isStopping
       ? await this.handOn(id, state)
