Share what plain and streaming calls have in common

Both declared the same parts and the same time to come back, and the plain call took a directory that it did not use. The adoption of a job no longer removes a job that its guard excludes, and the head of the batch jobs' page says who runs a job.

--- a/packages/gateway/__tests__/plain-calls.test.ts
+++ b/packages/gateway/__tests__/plain-calls.test.ts
@@ -54,7 +54,6 @@
     const call = plainCalls.PlainCall.create(
       {
         caller: replicas,
-        directory,
         nowMs: time.nowMs,
         choose: (tried) => directory.list('s').find((known) => !tried.has(known.replica.id)),
         note: () => {},
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -1,7 +1,7 @@
 /**
  * Batch jobs as callers see them: submit, read results, read an item's body, end.
  *
- * The gateway that accepts a job runs it. Any gateway answers for any job: from what it knows when
+ * A job is accepted by any gateway and run by the one that its model's jobs go to. Any gateway answers for any job: from what it knows when
  * it runs the job and nobody else can, and from the store otherwise. "There is no such job" and
  * "there is nothing at this position" are said only after the store was read, or by the owner
  * whose membership is beyond doubt.
@@ -278,7 +278,6 @@
     if (loaded === jobStores.UNREADABLE) return false;
     if (this.isStopping) return this.handOn(id, claimed.state);
     const { items, results, partials } = loaded;
-    this.owned.delete(id);
     partials.forEach((text) => this.texts.keep(text));
     this.own({ id, state: claimed.state, items, results });
     return true;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -134,12 +134,11 @@
     route: configurations.Route,
     ends: { readonly callerEndMs: number; readonly endMs: number },
   ): Promise<plainCalls.PlainCallEnd> {
-    const { environment, directory, caller } = this.parts;
+    const { environment, caller } = this.parts;
     const service = routeTables.chooseService(route, environment.random());
     const call = plainCalls.PlainCall.create(
       {
         caller,
-        directory,
         nowMs: environment.nowMs,
         choose: (tried) => this.choose(service, tried),
         note: (known, outcome, tookMs) => this.note(known, request.id, outcome, tookMs),
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -10,20 +10,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-
-/** What a call asks of its surroundings. */
-export interface PlainCallParts {
-  readonly caller: replicas.ReplicaCaller;
-  readonly directory: directories.Directory;
-  readonly nowMs: () => number;
-  /** Chooses a replica other than those tried. */
-  readonly choose: (tried: ReadonlySet<string>) => directories.KnownReplica | undefined;
-  readonly note: (
-    known: directories.KnownReplica,
-    outcome: replicas.CallOutcome,
-    tookMs: number,
-  ) => void;
-}
+import * as callParts from './call-parts';
 
 /** The terms of a call. */
 export interface PlainCallTerms {
@@ -50,8 +37,8 @@
 
 const FIRST_SERVER_ERROR = 500;
 const INTERNAL_ERROR = 500;
-/** A caller that was refused may come back after this, when other replicas may have room. */
-const REFUSAL_RETRY_MS = 100;
+/** Statuses that promise that a request did not run. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Runs one plain request. */
 export class PlainCall {
@@ -74,11 +61,11 @@
   private isFinished = false;
 
   private constructor(
-    private readonly parts: PlainCallParts,
+    private readonly parts: callParts.CallParts,
     private readonly terms: PlainCallTerms,
   ) {}
 
-  static create(parts: PlainCallParts, terms: PlainCallTerms): PlainCall {
+  static create(parts: callParts.CallParts, terms: PlainCallTerms): PlainCall {
     return new PlainCall(parts, terms);
   }
 
@@ -154,7 +141,7 @@
   private giveUp(): void {
     const answer = this.lastAnswer;
     // A refusal status promises that the request did not run, so an answer with one is replaced.
-    if (answer && !isPromise(answer.status)) this.conclude({ kind: 'answer', answer });
+    if (answer && !REFUSAL_STATUSES.has(answer.status)) this.conclude({ kind: 'answer', answer });
     else if (this.mayHaveRun) this.fail('target-failed');
     else this.fail('no-target');
   }
@@ -167,7 +154,7 @@
     const isRefusal = code === 'no-target';
     const failure = decisions.createFailure(code, {
       verdict,
-      ...(isRefusal ? { retryAfterMs: REFUSAL_RETRY_MS } : {}),
+      ...(isRefusal ? { retryAfterMs: callParts.REFUSAL_RETRY_MS } : {}),
     });
     this.conclude({ kind: 'failure', failure });
   }
@@ -183,9 +170,3 @@
     this.finish?.({ reply, attempts: this.tried.size, failedAnswers });
   }
 }
-
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-function isPromise(status: number): boolean {
-  return REFUSAL_STATUSES.has(status);
-}
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -8,19 +8,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-
-/** What a stream asks of its surroundings. */
-export interface StreamCallParts {
-  readonly caller: replicas.ReplicaCaller;
-  readonly nowMs: () => number;
-  /** Chooses a replica other than those tried. */
-  readonly choose: (tried: ReadonlySet<string>) => directories.KnownReplica | undefined;
-  readonly note: (
-    known: directories.KnownReplica,
-    outcome: replicas.CallOutcome,
-    tookMs: number,
-  ) => void;
-}
+import * as callParts from './call-parts';
 
 /** The terms of a stream. */
 export interface StreamCallTerms {
@@ -42,8 +30,6 @@
 }
 
 const OK = 200;
-/** A caller that was refused may come back after this, when other replicas may have room. */
-const REFUSAL_RETRY_MS = 100;
 /** An ordinary urgency of requests to replicas. */
 const ORDINARY_PRIORITY = 5;
 
@@ -58,7 +44,7 @@
   private isPassing = false;
 
   private constructor(
-    private readonly parts: StreamCallParts,
+    private readonly parts: callParts.CallParts,
     private readonly terms: StreamCallTerms,
     private readonly reply: exchanges.ReplyStream,
   ) {
@@ -66,7 +52,7 @@
   }
 
   static create(
-    parts: StreamCallParts,
+    parts: callParts.CallParts,
     terms: StreamCallTerms,
     reply: exchanges.ReplyStream,
   ): StreamCall {
@@ -144,7 +130,7 @@
     const verdict = mayHaveRun ? decisions.VerdictKind.MayHaveRun : decisions.VerdictKind.NotRun;
     if (this.isOver()) return decisions.createFailure('deadline-exceeded', { verdict });
     if (mayHaveRun) return decisions.createFailure('target-failed');
-    return decisions.createFailure('no-target', { retryAfterMs: REFUSAL_RETRY_MS });
+    return decisions.createFailure('no-target', { retryAfterMs: callParts.REFUSAL_RETRY_MS });
   }
 
   private end(reply: StreamCallEnd['reply']): StreamCallEnd {
