Leave idle connections open for a while in a planned stop

Cause of 'callers cut off' in planned stops beside load: HttpTask.stop closed idle connections at once. A request that its sender wrote before it saw the close had no answer, and a busy sender sees the close late. Answers under way named no close either, so their connections were used again. Ruled out: the drain limit (no answer was near it); the order of leaving (the notice is given first). Now a stop answers what still arrives, with 'Connection: close', for up to 1.5 s, and ends at once when no connection is left.

--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -1,9 +1,13 @@
 /**
  * An HTTP server as a task: it owns its socket, and a planned stop waits for the answers in flight.
+ *
+ * A request can cross the close of an idle connection, and its sender then can't know whether it
+ * ran. A planned stop therefore leaves idle connections open for a while: whatever still arrives on
+ * them is answered, with the word that the connection closes behind the answer.
  */
 import * as http from 'node:http';
 import * as https from 'node:https';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as tls from 'node:tls';
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
@@ -31,6 +35,8 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const INTERNAL_ERROR = 500;
 const KEY_REFRESH_INTERVAL_MS = 5000;
+/** How long a planned stop leaves idle connections open: well over the pause of a busy caller. */
+const IDLE_LINGER_MS = 1500;
 
 /** Reads the keys of a TLS server. */
 export type ReadKeys = () => links.Keys;
@@ -51,7 +57,9 @@
 
   private keyTimer: NodeJS.Timeout | undefined;
 
-  private inFlight = 0;
+  private readonly unanswered = new Set<http.ServerResponse>();
+
+  private isClosing = false;
 
   private boundPort = 0;
 
@@ -80,11 +88,6 @@
     return this.boundPort;
   }
 
-  /** Requests whose answer has not been sent in full. */
-  get requestsInFlight(): number {
-    return this.inFlight;
-  }
-
   /** Adds a route. */
   add(method: Method, pattern: string, handler: Handler): void {
     this.app[method](pattern, (request, response) => {
@@ -108,10 +111,9 @@
   private createServer(): http.Server | https.Server {
     const options = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: 0 };
     const listener = (request: http.IncomingMessage, response: http.ServerResponse): void => {
-      this.inFlight += 1;
-      response.on('close', () => {
-        this.inFlight -= 1;
-      });
+      this.unanswered.add(response);
+      response.on('close', () => this.unanswered.delete(response));
+      if (this.isClosing) response.shouldKeepAlive = false;
       this.app.handler(request as polka.Request, response);
     };
     if (!this.readKeys) return http.createServer(options, listener);
@@ -130,19 +132,37 @@
     clearInterval(this.keyTimer);
     const { server } = this;
     if (!server) return;
-    server.close();
+    this.isClosing = true;
+    this.unanswered.forEach((response) => {
+      if (!response.headersSent) response.shouldKeepAlive = false;
+    });
+    // The HTTP server's own close() would close idle connections at once.
+    net.Server.prototype.close.call(server);
+    const startMs = performance.now();
+    await pollUntil(startMs + IDLE_LINGER_MS, async () => (await countConnections(server)) === 0);
     server.closeIdleConnections();
-    const deadlineMs = performance.now() + this.drainTimeoutMs;
-    while (this.inFlight > 0 && performance.now() < deadlineMs) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, POLL_INTERVAL_MS);
-      });
-    }
+    await pollUntil(startMs + this.drainTimeoutMs, async () => this.unanswered.size === 0);
     server.closeAllConnections();
     this.server = undefined;
+    this.isClosing = false;
   }
 }
 
+async function pollUntil(deadlineMs: number, isDone: () => Promise<boolean>): Promise<void> {
+  while (performance.now() < deadlineMs && !(await isDone())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_INTERVAL_MS);
+    });
+  }
+}
+
+/** A server that can't count counts as one with connections, so that it is given its time. */
+function countConnections(server: net.Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.getConnections((error, count) => resolve(error ? 1 : count));
+  });
+}
+
 /** Whether the other end showed a key of this deployment; always true without TLS. */
 export function isPeer(request: http.IncomingMessage): boolean {
   const socket = request.socket as Partial<tls.TLSSocket>;
--- a/packages/daemon/src/rollout/trainer-api.ts
+++ b/packages/daemon/src/rollout/trainer-api.ts
@@ -1,5 +1,8 @@
 /**
  * The HTTP surface towards trainers: submit a step, take samples, announce new weights.
+ *
+ * The version in a request for samples is where the trainer stands until it has the answer; the
+ * staleness bound holds for that version, or for a later one that this entry knew when it answered.
  */
 import type * as http from 'node:http';
 import * as decisions from '@azureworks/decisions';
