The trainer stand-in stands where it asked until it is answered

An entry that thaws answers both at once. The check keeps its bound; the position is now the one sent with the request, as the head of trainer-api says. Before: trainer-position failed (staleness 1 where the entry answered at 0).

--- a/packages/standins/src/core/trainer.ts
+++ b/packages/standins/src/core/trainer.ts
@@ -1,6 +1,10 @@
 /**
  * Stand-in for a trainer: submits steps of groups, takes samples, trains on each group for a while,
  * and announces new weights after each step. It logs everything it received and how long it waited.
+ *
+ * The version that it sends with a request for samples is where it stands until that request is
+ * answered. An announcement that is accepted meanwhile counts from the next request on; nobody who
+ * answers could know of it.
  */
 import * as undici from 'undici';
 import * as generation from '../utils/generation';
@@ -87,8 +91,12 @@
 
   private entryIndex = 0;
 
+  /** Where the trainer stands. */
   private version = 0;
 
+  /** The latest version whose announcement was accepted. */
+  private announcedVersion = 0;
+
   private stepsDone = 0;
 
   private isAnnouncing = false;
@@ -179,6 +187,7 @@
   }
 
   private async take(step: number, held: ReadonlySet<string>): Promise<TakeAnswer> {
+    this.version = this.announcedVersion;
     const body = {
       held: [...held],
       version: this.version,
@@ -228,9 +237,9 @@
   }
 
   private async announce(): Promise<void> {
-    const version = this.version + 1;
+    const version = this.announcedVersion + 1;
     await this.postUntilAccepted('weights', { version });
-    this.version = version;
+    this.announcedVersion = version;
   }
 
   private async postUntilAccepted(path: string, body: unknown): Promise<void> {
@@ -269,7 +278,7 @@
     return {
       name,
       isDone: this.endMs !== undefined,
-      version: this.version,
+      version: this.announcedVersion,
       stepsDone: this.stepsDone,
       asked: steps * groups * members,
       received: this.received,
