Waits for changes grow with the number of gateways

A shorter list of tables was ruled out: each of the three has readers that must hear within 3 s. Now all gateways together end 200 waits a second and table; up to 240 gateways nothing changes, at 490 a wait is 2.45 s, within the 7 s that the largest deployment allows for a change. Test: 'the wait for changes of a table'.

--- a/packages/gateway/__tests__/store-access.test.ts
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -130,6 +130,7 @@
     const seen = new Map<string, string>();
     const watch = tableWatches.TableWatch.create({
       store,
+      countMembers: () => 1,
       table: 't',
       observer: {
         replace: (rows) => {
@@ -235,3 +236,16 @@
     expect(known && directory.getVersion(known, 'm')).toBe(1);
   });
 });
+
+describe('the wait for changes of a table', () => {
+  it('stays short enough for a small deployment to notice a silent connection in time', () => {
+    expect(tableWatches.chooseWaitMs(1)).toBeLessThan(2000);
+    expect(tableWatches.chooseWaitMs(70)).toBeLessThan(2000);
+  });
+
+  it('grows so that 490 gateways that follow three tables leave the store two thirds of 2,000 reads', () => {
+    const waitMs = tableWatches.chooseWaitMs(490);
+    expect((490 * 3 * 1000) / waitMs).toBeLessThanOrEqual(2000 / 3);
+    expect(waitMs).toBeLessThan(7000);
+  });
+});
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -147,6 +147,7 @@
         observer,
         log,
         pause: environment.pause,
+        countMembers: () => this.members.listPeers().length + 1,
       });
     const tasks = [
       watch(parts.tables.operator, configuration),
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -20,13 +20,23 @@
   readonly observer: TableObserver;
   readonly log: runtime.Log;
   readonly pause: (durationMs: number) => Promise<void>;
+  /** How many gateways follow tables of this store. */
+  readonly countMembers: () => number;
 }
 
 /**
- * How long one wait for changes lasts. A connection that went silent is noticed after it, so it
+ * The shortest wait for changes. A connection that went silent is noticed after a wait, so it
  * must stay below the time in which a change must be in force (2 s on the smallest deployment).
  */
-const WAIT_MS = 1200;
+const SHORTEST_WAIT_MS = 1200;
+/** The longest: a change must be in force within 7 s on the largest deployment. */
+const LONGEST_WAIT_MS = 5000;
+/**
+ * Waits that end without a change, a second and table, over all gateways: a tenth of the 2,000
+ * reads a second that the store serves on the largest deployment.
+ */
+const WAITS_PER_SECOND = 200;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Pauses after failures, doubled up to the longest. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
@@ -80,8 +90,9 @@
   }
 
   private async wait(): Promise<boolean> {
-    const { store, table, observer, log } = this.parts;
-    const outcome = await store.waitForChanges(table, this.revision ?? 0, WAIT_MS);
+    const { store, table, observer, log, countMembers } = this.parts;
+    const waitMs = chooseWaitMs(countMembers());
+    const outcome = await store.waitForChanges(table, this.revision ?? 0, waitMs);
     if (this.isStopped) return false;
     if (outcome.status === stores.StoreStatus.HistoryLost) {
       log.warn('history of a table was dropped, reading it in full', {
@@ -97,3 +108,12 @@
     return true;
   }
 }
+
+/**
+ * How long a wait for changes lasts: the more gateways wait, the longer, so that all of them
+ * together ask the store no more often than it can bear.
+ */
+export function chooseWaitMs(members: number): number {
+  const sharedMs = (members / WAITS_PER_SECOND) * MILLISECONDS_PER_SECOND;
+  return Math.min(LONGEST_WAIT_MS, Math.max(SHORTEST_WAIT_MS, sharedMs));
+}
