Hold the rows' lifecycle against a simple model under lost and late writes

A killed process went on giving orders in the first version: a kill now ends everything that it does.

--- a/packages/gateway/__tests__/support/small-system.ts
+++ b/packages/gateway/__tests__/support/small-system.ts
@@ -123,6 +123,8 @@
   isCut: boolean;
   /** The ways through peers are cut as well. */
   isAlone?: boolean;
+  /** The process is gone: whatever it still does here reaches nobody. */
+  isDead?: boolean;
 }
 
 /** The store, the replicas, and gateways that come and go. */
@@ -167,13 +169,14 @@
     incarnation = `${vm}-first`,
     reach: Reach = { isCut: false },
   ): Promise<gateway.Gateway> {
+    const isApart = (): boolean => reach.isAlone === true || reach.isDead === true;
     const started = gateway.Gateway.create({
       environment: time.createEnvironment(vm, incarnation),
       failureDomains: ['domain-a'],
       seeds: [],
-      directStore: this.connect(() => reach.isCut || reach.isAlone === true),
-      connectRelay: () => this.connect(() => reach.isAlone === true),
-      caller: this.replicas,
+      directStore: this.connect(() => reach.isCut || isApart()),
+      connectRelay: () => this.connect(isApart),
+      caller: this.callFrom(reach),
       peers: {
         waitForResult: (address, id, position, waitMs, signal) =>
           this.waitAt(address, id, position, waitMs, signal),
@@ -207,6 +210,20 @@
     return peer ? peer.jobs.waitForListing(...wait) : false;
   }
 
+  private callFrom(reach: Reach): gateway.ReplicaCaller {
+    const { replicas } = this;
+    const unlessDead = <Value>(act: () => Promise<Value>): Promise<Value> =>
+      reach.isDead ? new Promise<Value>(() => {}) : act();
+    return {
+      call: (...call) => unlessDead(() => replicas.call(...call)),
+      stream: (...stream) => unlessDead(() => replicas.stream(...stream)),
+      order: (replica, order) => unlessDead(() => replicas.order(replica, order)),
+      report: (replica) => unlessDead(() => replicas.report(replica)),
+      forget: () => {},
+      close: () => Promise.resolve(),
+    };
+  }
+
   private connect(isCut: () => boolean): gateway.ConnectedStore {
     const { store } = this;
     const lost = async (): Promise<gateway.StoreFailure> => {
