Readers of batch jobs have a module of their own

job-service held submissions, takeovers, readers and the memory of jobs in 412 lines. Now: result-reader (answers readers and waits at owners), job-memory (facts remembered of jobs), answer (what an operation ends with), and job-service for what changes jobs. Remembering a job again moves it to the end of the memory; closed jobs leave by their own time, so that forgetting facts no longer drops them. No change of behaviour is meant otherwise; gateway tests pass.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -6,7 +6,7 @@
 const NEVER = new AbortController().signal;
 
 async function readAll(from: gateway.Gateway, id: string): Promise<readonly gateway.ItemResult[]> {
-  const answer = await from.jobs.read(id, 0, 0, NEVER);
+  const answer = await from.jobs.results.read(id, 0, 0, NEVER);
   if (!answer.isOk) throw new Error(answer.failure.message);
   return answer.value.results;
 }
@@ -201,7 +201,7 @@
       await time.pass(60);
       runners.push(all.findIndex((candidate) => candidate.jobs.has(job.id)));
       const started = time.nowMs();
-      const reading = accepting.jobs.read(job.id, 0, 1000, NEVER);
+      const reading = accepting.jobs.results.read(job.id, 0, 1000, NEVER);
       const answer = await settle(reading);
       expect(answer.isOk && answer.value.results.length).toBeGreaterThan(0);
       expect(time.nowMs() - started).toBeLessThan(500);
@@ -260,10 +260,10 @@
 
   it('says that there is no such job only after the store was read', async () => {
     const first = await system.start('vm-1');
-    const missing = await settle(first.jobs.read('nowhere', 0, 0, NEVER));
+    const missing = await settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
     expect(missing).toMatchObject({ isOk: false, failure: { code: 'unknown-job' } });
     system.store.faults.isRefusing = true;
-    const unsure = await settle(first.jobs.read('nowhere', 0, 0, NEVER));
+    const unsure = await settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
     expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
   });
 
@@ -274,7 +274,7 @@
     await settle(first.jobs.submit(job));
     system.store.faults.isRefusing = true;
     await time.pass(2500);
-    const unsure = await settle(first.jobs.read('job', 0, 0, NEVER));
+    const unsure = await settle(first.jobs.results.read('job', 0, 0, NEVER));
     expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
   });
 
@@ -292,7 +292,7 @@
     const runs = system.replicas.runs.length;
     await time.pass(5000);
     expect(system.replicas.runs).toHaveLength(runs);
-    const body = await settle(second.jobs.readBody('job', 'job-0'));
+    const body = await settle(second.jobs.results.readBody('job', 'job-0'));
     expect(body).toMatchObject({ isOk: false, failure: { code: 'unknown-item' } });
   });
 
@@ -359,7 +359,7 @@
     const second = await system.start('vm-2');
     await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
     for (const from of [first, second]) {
-      const body = await settle(from.jobs.readBody('job', 'job-1'));
+      const body = await settle(from.jobs.results.readBody('job', 'job-1'));
       expect(body).toMatchObject({ isOk: true, value: Buffer.from('body of job-1') });
     }
   });
--- a/packages/gateway/__tests__/row-lifecycle.test.ts
+++ b/packages/gateway/__tests__/row-lifecycle.test.ts
@@ -93,7 +93,7 @@
   position: number,
 ): Promise<void> {
   const answer = await settle(
-    trial.slots[slot].running.jobs.read(known.job.id, position, 0, NEVER),
+    trial.slots[slot].running.jobs.results.read(known.job.id, position, 0, NEVER),
   );
   if (!answer.isOk) {
     // An accepted job exists for as long as it must be readable.
--- a/packages/gateway/__tests__/support/small-system.ts
+++ b/packages/gateway/__tests__/support/small-system.ts
@@ -204,10 +204,10 @@
 
   private async waitAt(
     address: string,
-    ...wait: Parameters<gateway.Gateway['jobs']['waitForListing']>
+    ...wait: Parameters<gateway.Gateway['jobs']['results']['waitForListing']>
   ): Promise<boolean> {
     const peer = this.byAddress.get(address);
-    return peer ? peer.jobs.waitForListing(...wait) : false;
+    return peer ? peer.jobs.results.waitForListing(...wait) : false;
   }
 
   private callFrom(reach: Reach): gateway.ReplicaCaller {
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -7,6 +7,7 @@
 import * as jobRecords from '../jobs/job-record';
 import * as jobRunners from '../jobs/job-runner';
 import * as jobServices from '../jobs/job-service';
+import type * as resultReaders from '../jobs/result-reader';
 import * as jobStores from '../jobs/job-store';
 import * as takeoverTasks from '../jobs/takeover-task';
 import * as membershipTasks from '../membership/membership-task';
@@ -30,7 +31,7 @@
   readonly directStore: routedStores.ConnectedStore;
   readonly connectRelay: (address: string) => routedStores.ConnectedStore;
   readonly caller: replicas.ReplicaCaller;
-  readonly peers: jobServices.Peers;
+  readonly peers: resultReaders.Peers;
   readonly tables: { readonly operator: string; readonly replicas: string };
   readonly decodeOperatorRow: configurationKeepers.DecodeOperatorRow;
   readonly decodeReplica: directories.DecodeReplica;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -55,4 +55,5 @@
   type ScoringCall,
 } from './types/batch-job';
 export type { CallerRequest, Reply, ReplyStream } from './types/exchange';
-export type { Answer, Peers, ResultsPage } from './jobs/job-service';
+export type { Answer } from './jobs/answer';
+export type { Peers, ResultsPage } from './jobs/result-reader';
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -1,20 +1,20 @@
 /**
- * Batch jobs as callers see them: submit, read results, read an item's body, end.
+ * Batch jobs as callers see them: submit and end; readers are answered by the result reader.
  *
- * A job is accepted by any gateway and run by the one that its model's jobs go to. Any gateway answers for any job: from what it knows when
- * it runs the job and nobody else can, and from the store otherwise. "There is no such job" and
- * "there is nothing at this position" are said only after the store was read, or by the owner
- * whose membership is beyond doubt.
+ * A job is accepted by any gateway and run by the one that its model's jobs go to. Any gateway
+ * answers for any job. "There is no such job" and "there is nothing at this position" are said only
+ * after the store was read, or by the owner whose membership is beyond doubt.
  */
-import * as decisions from '@azureworks/decisions';
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
-import type * as records from './job-record';
+import * as answers from './answer';
+import * as jobMemories from './job-memory';
 import type * as jobRunners from './job-runner';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
 import * as partialTexts from './partial-texts';
+import * as resultReaders from './result-reader';
 import * as runnerChoices from './runner-choice';
 
 /** What the service needs. */
@@ -25,61 +25,16 @@
   /** Whether no other gateway can have taken this one's jobs over. */
   readonly isTrusted: () => boolean;
   /** The gateways that take new work. */
-  readonly listWorkers: () => readonly Worker[];
-  readonly peers: Peers;
+  readonly listWorkers: () => readonly resultReaders.Worker[];
+  readonly peers: resultReaders.Peers;
   /** How long a job can be read after its submission, in milliseconds. */
   readonly keepMs: number;
 }
 
-/** A gateway that takes new work. */
-export interface Worker extends records.JobOwner, runnerChoices.RunnerCandidate {
-  /** Where peers reach it. */
-  readonly address: string;
-}
-
-/** Calls to other gateways. */
-export interface Peers {
-  /**
-   * Waits until a job that the peer runs has more than `position` results, or for `waitMs`.
-   * Resolves to false when the peer does not answer or does not run the job.
-   */
-  waitForResult(
-    address: string,
-    id: string,
-    position: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<boolean>;
-}
-
-/** Results from a position on. */
-export interface ResultsPage {
-  readonly total: number;
-  readonly results: readonly jobs.ItemResult[];
-}
-
-/** An answer, or the reason why there is none. */
-export type Answer<Value> =
-  | { readonly isOk: true; readonly value: Value }
-  | { readonly isOk: false; readonly failure: decisions.Failure };
-
-/** What is remembered of a job that may be run elsewhere. */
-interface JobFacts {
-  readonly total: number;
-  /** Who ran it when it was last looked up; null when that is not known. */
-  readonly owner: records.JobOwner | null;
-}
-
-/** Jobs of which the unchanging facts are remembered, at the most. */
-const MOST_REMEMBERED = 2000;
 /** How long results of a closed job are held in memory; later reads go to the store. */
 const KEEP_CLOSED_MS = 20_000;
 /** How much longer than it must be readable a job stays in the store, in milliseconds. */
 const DISCARD_SLACK_MS = 60_000;
-/** How often a reader's gateway looks into the store for new results, in milliseconds. */
-const LOOK_MS = 200;
-/** When a caller that was refused may come back: a lapse of the store is usually short. */
-const STORE_RETRY_MS = 250;
 /** How often a submission whose fate is unknown is looked up, and how many times. */
 const UNSETTLED_LOOK_MS = 1000;
 const UNSETTLED_LOOKS = 8;
@@ -90,7 +45,7 @@
 export class JobService {
   private readonly owned = new Map<string, ownedJobs.OwnedJob>();
 
-  private readonly facts = new Map<string, JobFacts>();
+  private readonly memory = jobMemories.JobMemory.create();
 
   private readonly adopting = new Set<string>();
 
@@ -98,7 +53,17 @@
 
   private isStopping = false;
 
-  private constructor(private readonly parts: JobServiceParts) {}
+  /** What readers ask. */
+  readonly results: resultReaders.ResultReader;
+
+  private constructor(private readonly parts: JobServiceParts) {
+    this.results = resultReaders.ResultReader.create({
+      ...parts,
+      memory: this.memory,
+      findOwned: (id) => this.owned.get(id),
+      isStopping: () => this.isStopping,
+    });
+  }
 
   static create(parts: JobServiceParts): JobService {
     return new JobService(parts);
@@ -115,10 +80,10 @@
   }
 
   /** Accepts a job, once, however often it is submitted. */
-  async submit(job: jobs.BatchJob): Promise<Answer<undefined>> {
+  async submit(job: jobs.BatchJob): Promise<answers.Answer<undefined>> {
     const { environment, store } = this.parts;
     if (this.owned.has(job.id)) return { isOk: true, value: undefined };
-    if (this.isStopping) return fail('draining', STORE_RETRY_MS);
+    if (this.isStopping) return answers.fail('draining', answers.STORE_RETRY_MS);
     const startMs = environment.nowMs();
     const runner = runnerChoices.chooseRunner(job.model, this.parts.listWorkers());
     const { outcome, head } = await store.create(job, runner);
@@ -139,15 +104,15 @@
     environment.metrics.record('job_submission', {}, tookMs);
     if (outcome.status === stores.StoreStatus.Done) {
       const state = { head, revision: outcome.revision };
-      this.remember(id, { total: items.length, owner: head.owner });
+      this.memory.remember(id, { total: items.length, owner: head.owner });
       if (store.isOwn(head)) this.own({ id, state, items, results: [] });
       return { isOk: true, value: undefined };
     }
     if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
     if (outcome.status === stores.StoreStatus.NotDone)
-      return fail('store-unavailable', STORE_RETRY_MS);
+      return answers.fail('store-unavailable', answers.STORE_RETRY_MS);
     this.followUnsettled(job);
-    return fail('outcome-unknown');
+    return answers.fail('outcome-unknown');
   }
 
   /** Runs a job from now on, as it is in the store. */
@@ -163,69 +128,14 @@
     return isAdopted;
   }
 
-  /** Results from `position` on; waits up to `waitMs` for the first. */
-  async read(
-    id: string,
-    position: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Answer<ResultsPage>> {
-    const endMs = this.parts.environment.nowMs() + waitMs;
-    for (;;) {
-      const leftMs = endMs - this.parts.environment.nowMs();
-      const isLast = leftMs <= 0 || signal.aborted || this.isStopping;
-      const owned = this.owned.get(id);
-      const page = owned ? this.readOwned(owned, position, isLast) : undefined;
-      if (page) return { isOk: true, value: page };
-      if (owned && !isLast && this.isAuthority(owned)) await owned.waitForResult(leftMs, signal);
-      else {
-        const read = await this.readStored(id, position);
-        if (!read.isOk || read.value.results.length > 0 || isLast) return read;
-        await this.waitForOther(id, position, leftMs, signal);
-      }
-    }
-  }
-
-  /** See Peers.waitForResult, on the side of the gateway that runs the job. */
-  async waitForListing(
-    id: string,
-    position: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const job = this.owned.get(id);
-    if (!job) return false;
-    if (job.results.length > position) return true;
-    // Nothing more comes here, so the reader had better not ask again at once.
-    if (!job.isOpen) return false;
-    await job.waitForResult(waitMs, signal);
-    return true;
-  }
-
-  /** The body of an item; a job that was ended has none any more. */
-  async readBody(id: string, itemId: string): Promise<Answer<Buffer>> {
-    const owned = this.owned.get(id);
-    if (owned?.closing === ownedJobs.JobClosing.Ended) return fail('unknown-item');
-    const known = owned?.items.get(itemId)?.item;
-    if (known && owned.isOpen && this.parts.isTrusted()) return { isOk: true, value: known.body };
-    const state = await this.parts.store.readHead(id);
-    if (state === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-    if (!state) return fail('unknown-job');
-    if (state.head.isEnded) return fail('unknown-item');
-    if (known) return { isOk: true, value: known.body };
-    const items = await this.parts.store.readItems(id);
-    if (items === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-    const item = items.find((candidate) => candidate.id === itemId);
-    return item ? { isOk: true, value: item.body } : fail('unknown-item');
-  }
-
   /** Ends a job; ending it again changes nothing. */
-  async end(id: string): Promise<Answer<undefined>> {
+  async end(id: string): Promise<answers.Answer<undefined>> {
     const { store, environment } = this.parts;
     for (let attempt = 0; attempt < MOST_END_ATTEMPTS; attempt += 1) {
       const state = await store.readHead(id);
-      if (state === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-      if (!state) return fail('unknown-job');
+      if (state === jobStores.UNREADABLE)
+        return answers.fail('store-unavailable', answers.STORE_RETRY_MS);
+      if (!state) return answers.fail('unknown-job');
       if (state.head.isEnded) {
         this.learnEnd(id);
         return { isOk: true, value: undefined };
@@ -236,9 +146,9 @@
         this.learnEnd(id);
         return { isOk: true, value: undefined };
       }
-      if (outcome.status !== stores.StoreStatus.Conflict) return fail('outcome-unknown');
+      if (outcome.status !== stores.StoreStatus.Conflict) return answers.fail('outcome-unknown');
     }
-    return fail('outcome-unknown');
+    return answers.fail('outcome-unknown');
   }
 
   /** Learns that a job was ended, through whatever gateway. */
@@ -289,7 +199,7 @@
       { environment, store, closed: (closed) => this.forgetSoon(closed) },
       content,
     );
-    this.remember(job.id, { total: content.items.length, owner: job.head.owner });
+    this.memory.remember(job.id, { total: content.items.length, owner: job.head.owner });
     this.owned.set(job.id, job);
     job.items.forEach((entry) => {
       if (this.texts.adopt(entry, job.head.oldestVersion)) runner.noteCarried(entry.item.id);
@@ -320,75 +230,6 @@
       .then(() => store.discard(job.id));
   }
 
-  private readOwned(
-    job: ownedJobs.OwnedJob,
-    position: number,
-    isLast: boolean,
-  ): ResultsPage | undefined {
-    const results = job.results.slice(position);
-    const isSettled = !job.isOpen || isLast;
-    // A listing without an answer may be in force, and others may have read it.
-    const isSure = this.isAuthority(job) && !(job.isOpen && job.isBeingListed);
-    if (results.length === 0 && !(isSettled && isSure)) return undefined;
-    return { total: job.head.total, results };
-  }
-
-  /** Whether what this gateway knows of a job is all there is. */
-  private isAuthority(job: ownedJobs.OwnedJob): boolean {
-    return !job.isOpen || this.parts.isTrusted();
-  }
-
-  /** Waits for a result of a job that another gateway runs. */
-  private async waitForOther(
-    id: string,
-    position: number,
-    leftMs: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { listWorkers, peers, environment } = this.parts;
-    const owner = this.facts.get(id)?.owner;
-    const worker = listWorkers().find(
-      (candidate) => candidate.vm === owner?.vm && candidate.vm !== environment.vm,
-    );
-    const isTold =
-      worker && (await peers.waitForResult(worker.address, id, position, leftMs, signal));
-    if (isTold) return;
-    // Whoever runs it now, the store tells what is listed.
-    this.forgetOwner(id);
-    await environment.pause(Math.min(LOOK_MS, leftMs));
-  }
-
-  private forgetOwner(id: string): void {
-    const facts = this.facts.get(id);
-    if (facts) this.facts.set(id, { ...facts, owner: null });
-  }
-
-  private async readStored(id: string, position: number): Promise<Answer<ResultsPage>> {
-    const { store } = this.parts;
-    let facts = this.facts.get(id);
-    if (!facts?.owner) {
-      const state = await store.readHead(id);
-      if (state === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-      if (!state) return fail('unknown-job');
-      facts = { total: state.head.total, owner: state.head.owner };
-      this.remember(id, facts);
-    }
-    const results = await store.readResults(id, position);
-    if (results === jobStores.UNREADABLE) return fail('store-unavailable', STORE_RETRY_MS);
-    return { isOk: true, value: { total: facts.total, results } };
-  }
-
-  private remember(id: string, facts: JobFacts): void {
-    if (this.facts.size >= MOST_REMEMBERED) {
-      const [oldest] = this.facts.keys();
-      if (oldest !== undefined) {
-        this.facts.delete(oldest);
-        if (!this.owned.get(oldest)?.isOpen) this.owned.delete(oldest);
-      }
-    }
-    this.facts.set(id, facts);
-  }
-
   /** A submission may still take effect after its answer was lost; then this gateway runs it. */
   private async followUnsettled(job: jobs.BatchJob): Promise<void> {
     const { environment, store } = this.parts;
@@ -402,11 +243,3 @@
     }
   }
 }
-
-function fail(
-  code: decisions.ErrorCode,
-  retryAfterMs?: number,
-): { readonly isOk: false; readonly failure: decisions.Failure } {
-  const detail = retryAfterMs === undefined ? {} : { retryAfterMs };
-  return { isOk: false, failure: decisions.createFailure(code, detail) };
-}
