A request's log lines lead to the replica that held it and the bound that ended it

Now 'call given up' names the replica and 'request answered' has timeoutMs. 'weights ordered' names its replica like all other lines ('replica', not 'replicaId').

--- /dev/null
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -0,0 +1,98 @@
+import type * as gateway from '@azureworks/gateway';
+import type * as runtime from '@azureworks/runtime';
+import type * as configurationKeepers from '../src/configuration/configuration-keeper';
+import * as directories from '../src/replicas/directory';
+import * as forwarders from '../src/requests/forwarder';
+import * as fakeReplicas from './support/fake-replicas';
+import * as systems from './support/small-system';
+import * as time from './support/virtual-time';
+
+/** Keeps all lines. */
+class LinesLog implements runtime.Log {
+  readonly lines: Record<string, unknown>[] = [];
+
+  change(message: string, fields: runtime.LogFields = {}): void {
+    this.lines.push({ message, ...fields });
+  }
+
+  warn(message: string, fields: runtime.LogFields = {}): void {
+    this.change(message, fields);
+  }
+}
+
+describe('the log of a request', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('leads from a request whose time was up to the replica that held it and the bound', async () => {
+    const log = new LinesLog();
+    const environment = { ...time.createEnvironment('vm'), log };
+    const configuration = systems.createConfiguration(7);
+    const route = { ...configuration.routes[1], timeoutMs: 400, mostAttempts: 1 };
+    const directory = directories.Directory.create({
+      environment,
+      decode: (row) => ({
+        id: row.key,
+        service: 'plain',
+        address: 'address:1',
+        failureDomain: 'a',
+        slots: 4,
+        isDraining: false,
+        bornMs: 1,
+        modelVersions: new Map(),
+      }),
+      isStoreSteady: () => true,
+    });
+    directory.replace([
+      { table: 't', partition: '', key: 'slow', value: Buffer.alloc(0), revision: 1 },
+    ]);
+    const replicas = fakeReplicas.FakeReplicas.create();
+    replicas.behaviourOf('slow').answerMs = 10_000;
+    const keeper = { current: configuration } as configurationKeepers.ConfigurationKeeper;
+    const forwarder = forwarders.Forwarder.create({
+      environment,
+      configuration: keeper,
+      directory,
+      caller: replicas,
+    });
+    const caller: gateway.CallerRequest = {
+      request: {
+        id: 'attempt',
+        method: 'POST',
+        target: '/plain/x',
+        host: 'h',
+        headers: [],
+        body: Buffer.alloc(0),
+      },
+      path: '/plain/x',
+      deadlineMs: 3000,
+      receivedMs: time.nowMs(),
+      signal: new AbortController().signal,
+      afterEvent: undefined,
+    };
+    forwarder.forward(caller, route);
+    await time.pass(500);
+    const lines = log.lines.filter((line) => line.request === 'attempt');
+    expect(lines).toContainEqual({
+      message: 'call given up',
+      request: 'attempt',
+      replica: 'slow',
+      tookMs: 400,
+    });
+    expect(lines).toContainEqual(
+      expect.objectContaining({
+        message: 'request answered',
+        outcome: 'deadline-exceeded',
+        tookMs: 400,
+        deadlineMs: 3000,
+        timeoutMs: 400,
+        configuration: 7,
+      }),
+    );
+  });
+});
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -109,6 +109,7 @@
       attempts,
       tookMs: Math.round(tookMs),
       deadlineMs: caller.deadlineMs,
+      timeoutMs: route.timeoutMs,
       configuration: configuration.current?.version,
     });
   }
@@ -192,7 +193,16 @@
       known.pace.observe(tookMs);
       return;
     }
-    if (outcome.status === replicas.CallStatus.Cancelled) return;
+    if (outcome.status === replicas.CallStatus.Cancelled) {
+      // Time was up, the caller left, or another replica answered first: the line of the request's
+      // own end tells which.
+      environment.log.change('call given up', {
+        request: requestId,
+        replica: id,
+        tookMs: Math.round(tookMs),
+      });
+      return;
+    }
     const isSilent = outcome.isSilent === true;
     const isFailure = outcome.status !== replicas.CallStatus.NotRun || isSilent;
     const isAvoided = isFailure && known.pace.noteFailure(environment.nowMs(), isSilent);
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -150,7 +150,9 @@
     );
     environment.metrics.count('weight_orders', { outcome: status });
     environment.log.change('weights ordered', {
-      ...order,
+      replica: order.replicaId,
+      model: order.model,
+      version: order.version,
       held,
       fence,
       acceptedOrders: state?.acceptedOrders,
