A text is made from its beginning where a replica does not go on with it

Now such a run drops the text that nobody continues, and its log line says which event came after which. A gap later in a run still keeps the text.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -132,6 +132,23 @@
     expect(system.replicas.runs.some((run) => run.afterEvent !== undefined)).toBe(true);
   });
 
+  it('makes a text from its beginning where replicas do not go on with one', async () => {
+    const first = await system.start('vm-1');
+    ['e1', 'e2', 'e3'].forEach((id) => {
+      system.replicas.behaviourOf(id).isForgetful = true;
+      system.replicas.behaviourOf(id).breakAfter = 4;
+    });
+    const job = systems.createJob('job', 1, 2);
+    await settle(first.jobs.submit(job));
+    await time.pass(300);
+    ['e1', 'e2', 'e3'].forEach((id) => {
+      system.replicas.behaviourOf(id).breakAfter = undefined;
+    });
+    await time.pass(8000);
+    expectWhole(await settle(readAll(first, 'job')), job);
+    expect(system.replicas.runs.length).toBeLessThan(20);
+  });
+
   it('goes on from the kept texts when the gateway dies', async () => {
     const reach = { isCut: false, isAlone: false };
     const first = await system.start('vm-1', 'vm-1-first', reach);
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -15,6 +15,8 @@
   refusals: number;
   /** Streams that break off after so many events. */
   breakAfter: number | undefined;
+  /** Whether it begins each text anew instead of going on after an event. */
+  isForgetful: boolean;
   /** Whether it gives no sign of life. */
   isSilent: boolean;
   /** Status of plain answers. */
@@ -63,6 +65,7 @@
         eventMs: 20,
         refusals: 0,
         breakAfter: undefined,
+        isForgetful: false,
         isSilent: false,
         status: 200,
         answerMs: 10,
@@ -125,7 +128,8 @@
       load: undefined,
     });
     const length = this.lengths.get(request.id) ?? 10;
-    for (let id = (afterEvent ?? -1) + 1; id < length; id += 1) {
+    const first = behaviour.isForgetful ? 0 : (afterEvent ?? -1) + 1;
+    for (let id = first; id < length; id += 1) {
       if (await pauseUnless(behaviour.eventMs, options.signal)) {
         return { status: CallStatus.Cancelled, reason: 'aborted' };
       }
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -59,6 +59,9 @@
 export class StreamRun implements replicas.StreamReceiver {
   private readonly abort = new AbortController();
 
+  /** Why this side ended the run. */
+  private quitReason: string | undefined;
+
   private status = 0;
 
   private version: number | undefined;
@@ -112,7 +115,9 @@
     if (!terms.isSingleVersion || entry.versions.size === 0) return;
     if (!entry.versions.has(head.weightVersion)) entry.reset();
     // The stream goes on after events that are now forgotten, so it is of no use.
-    if (entry.lastEvent === undefined && entry.events.length === 0) this.abort.abort();
+    if (entry.lastEvent === undefined && entry.events.length === 0) {
+      this.quit(`version ${head.weightVersion} for a text of another one`);
+    }
   }
 
   receive(event: replicas.StreamEvent): void {
@@ -122,12 +127,15 @@
     if (terms.isSingleVersion && this.version !== undefined && entry.versions.size > 0) {
       if (!entry.versions.has(this.version)) {
         entry.reset();
-        this.abort.abort();
+        this.quit(`changed to version ${this.version} within a text of another one`);
         return;
       }
     }
     if (entry.lastEvent !== undefined && event.id !== entry.lastEvent + 1) {
-      this.abort.abort();
+      this.quit(`event ${event.id} came after event ${entry.lastEvent}`);
+      // A replica that does not go on where it was asked to would do so again and again: the next
+      // run makes the text from its beginning.
+      if (entry.runEvents === 0) entry.reset();
       return;
     }
     if (this.version !== undefined) entry.versions.add(this.version);
@@ -143,7 +151,12 @@
     const { entry, known, terms } = this.parts;
     this.version = version;
     known.shownVersions.set(entry.item.model, version);
-    if (version < terms.oldestVersion) this.abort.abort();
+    if (version < terms.oldestVersion) this.quit('version too old');
+  }
+
+  private quit(reason: string): void {
+    this.quitReason ??= reason;
+    this.abort.abort();
   }
 
   private judge(outcome: replicas.StreamOutcome): StreamRunEnd {
@@ -185,7 +198,7 @@
       replica: known.replica.id,
       end: end.kind,
       outcome: isAnswered ? String(outcome.answer.status) : outcome.status,
-      reason: isAnswered ? '' : outcome.reason,
+      reason: this.quitReason ?? (isAnswered ? '' : outcome.reason),
       events: entry.events.length,
       runEvents: entry.runEvents,
       version: this.version,
