The test of the trainer's position ends what it began

Cause of a test run that did not end after its last test: the stand-in repeats its last announcement for ever, and the test's entry never accepted it and was then closed. Found by running each new test file alone: only this one stayed (the run of the whole suite had passed it). The entry now holds only the announcement that the test is about, and the test waits for the last one.

--- a/packages/standins/__tests__/trainer-position.test.ts
+++ b/packages/standins/__tests__/trainer-position.test.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as server from '../src/core/standin-server';
 import * as trainers from '../src/core/trainer';
 import * as generation from '../src/utils/generation';
 
@@ -16,6 +17,8 @@
 };
 
 const SAMPLES_LATE_MS = 50;
+/** One after each step, and one before the first. */
+const LAST_VERSION = OPTIONS.steps + 1;
 
 /**
  * An entry whose answer to the second step's request for samples is decided while the trainer
@@ -41,8 +44,8 @@
       response.writeHead(202).end('{}');
     };
     if (path.endsWith('/steps')) accept();
-    else if (path.endsWith('/weights') && body.version === 1) accept();
-    else if (path.endsWith('/weights')) this.accept = accept;
+    else if (path.endsWith('/weights') && body.version === 2) this.accept = accept;
+    else if (path.endsWith('/weights')) accept();
     else {
       const step = Number(/step-(\d+)/.exec(path)?.[1]);
       const answer = createAnswer(step, body.version ?? 0);
@@ -74,10 +77,12 @@
       entry.server.listen(0, '127.0.0.1', resolve);
     });
     const trainer = trainers.TrainerStandin.create({ ...OPTIONS, entries: [entry.url] });
+    const read = (): trainers.TrainerReport =>
+      (trainer as unknown as { createReport(): trainers.TrainerReport }).createReport();
     await trainer.run();
-    const report = (
-      trainer as unknown as { createReport(): trainers.TrainerReport }
-    ).createReport();
+    // The last announcement is under way when the steps are done; a trainer repeats it for ever.
+    while (read().version < LAST_VERSION) await server.sleep(5);
+    const report = read();
     expect(report.labels.map((label) => label.weightVersions)).toEqual([[1], [1]]);
     expect(report.labels.map((label) => label.staleness)).toEqual([0, 0]);
     expect(report.damaged).toBe(0);
