--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -12,7 +12,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import polka from 'polka';
-import type * as runtime from '@azureworks/runtime';
+import * as runtime from '@azureworks/runtime';
 import * as headers from '../types/headers';
 
 /** A request whose path matched a route. */
@@ -150,9 +150,7 @@
 
 async function pollUntil(deadlineMs: number, isDone: () => Promise<boolean>): Promise<void> {
   while (performance.now() < deadlineMs && !(await isDone())) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_INTERVAL_MS);
-    });
+    await runtime.pause(POLL_INTERVAL_MS);
   }
 }
 
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -7,13 +7,12 @@
  */
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import type * as runtime from '@azureworks/runtime';
+import * as runtime from '@azureworks/runtime';
 import * as attempts from './attempt';
 import type * as directories from './directory';
 import type * as requests from './request';
 import type * as settlements from './settlement';
 import * as joiners from './stream-joiner';
-import * as pauses from '../utils/pause';
 
 /** What every call of an entry shares. */
 export interface CallContext {
@@ -148,7 +147,7 @@
       if (target) return neverthrow.ok(target);
       if (nowMs >= waitUntilMs) return this.refuse('no-target');
       this.excluded.clear();
-      await pauses.pause(NO_TARGET_WAIT_MS);
+      await runtime.pause(NO_TARGET_WAIT_MS);
     }
     return this.refuse('no-target');
   }
--- a/packages/daemon/src/entry/change-writer.ts
+++ b/packages/daemon/src/entry/change-writer.ts
@@ -6,7 +6,7 @@
 import * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
-import * as pauses from '../utils/pause';
+import * as runtime from '@azureworks/runtime';
 import type * as stores from './configuration-store';
 
 /** A change that the table service holds. */
@@ -52,7 +52,7 @@
     while (this.clock.nowMs() < deadlineMs) {
       const outcome = await this.tryWrite(change, author, verdicts);
       if (outcome) return outcome;
-      await pauses.pause(PAUSE_MS);
+      await runtime.pause(PAUSE_MS);
     }
     const verdict = decisions.combineVerdicts(verdicts);
     const detail = { verdict, detail: `change ${change.id}` };
--- a/packages/daemon/src/entry/claims.ts
+++ b/packages/daemon/src/entry/claims.ts
@@ -10,10 +10,9 @@
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
 import * as storage from '@azureworks/storage';
-import type * as runtime from '@azureworks/runtime';
+import * as runtime from '@azureworks/runtime';
 import type * as requests from './request';
 import type * as settlements from './settlement';
-import * as pauses from '../utils/pause';
 
 /** Where a claim stands. */
 const ClaimState = { Claimed: 'claimed', Done: 'done', Released: 'released' } as const;
@@ -97,7 +96,7 @@
     for (let attempt = 0; attempt < RECORD_ATTEMPTS; attempt += 1) {
       const result = await this.write(row);
       if (result.isOk() || result.error.kind === storage.StoreFailureKind.Conflict) return;
-      await pauses.pause(RECORD_PAUSE_MS);
+      await runtime.pause(RECORD_PAUSE_MS);
     }
     this.context.metrics.count('claims_unrecorded');
   }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -8,7 +8,6 @@
 import type * as daemons from '../core/daemon';
 import * as observability from '../core/observability';
 import * as trainerApi from '../rollout/trainer-api';
-import * as pauses from '../utils/pause';
 import * as assembly from './assembly';
 import * as callerApi from './caller-api';
 import * as operatorApi from './operator-api';
@@ -68,7 +67,7 @@
   async stop(): Promise<void> {
     this.isDraining = true;
     await this.members.membership.leave();
-    await pauses.pause(LEAVING_NOTICE_MS);
+    await runtime.pause(LEAVING_NOTICE_MS);
     await this.foundation.http.stop();
     this.serving.admission.stop();
     await this.tree.stop();
--- a/packages/daemon/src/rollout/sample-run.ts
+++ b/packages/daemon/src/rollout/sample-run.ts
@@ -6,10 +6,10 @@
 import * as decisions from '@azureworks/decisions';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
+import * as runtime from '@azureworks/runtime';
 import * as calls from '../entry/call';
 import type * as dispatchers from '../entry/dispatcher';
 import type * as requests from '../entry/request';
-import * as pauses from '../utils/pause';
 
 /** What a sample run needs to know. */
 export interface SampleOrder {
@@ -88,7 +88,7 @@
       const result = await this.runOnce();
       if (result.isOk()) return this.score(result.value);
       failure = result.error;
-      if (!this.isRestarting) await pauses.pause(RETRY_PAUSE_MS);
+      if (!this.isRestarting) await runtime.pause(RETRY_PAUSE_MS);
       this.isRestarting = false;
     }
     return neverthrow.err(failure);
@@ -171,7 +171,7 @@
       const result = await this.dispatcher.serve(this.createScoreRequest(scorer, sample));
       const scored = result.andThen((answer) => readScore(answer.body));
       if (scored.isOk()) return neverthrow.ok({ ...sample, score: scored.value });
-      await pauses.pause(RETRY_PAUSE_MS);
+      await runtime.pause(RETRY_PAUSE_MS);
     }
     return neverthrow.err(decisions.createFailure('deadline-exceeded'));
   }
--- a/packages/daemon/src/rollout/step-coordinator.ts
+++ b/packages/daemon/src/rollout/step-coordinator.ts
@@ -9,7 +9,6 @@
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
 import * as runtime from '@azureworks/runtime';
-import * as pauses from '../utils/pause';
 
 /** One group of a step. */
 export interface GroupSpecification {
@@ -127,7 +126,7 @@
     const waitUntilMs = clock.nowMs() + request.waitMs;
     let groups = this.listReady(request);
     while (groups.length === 0 && !this.isDone() && clock.nowMs() < waitUntilMs) {
-      await pauses.pause(WAIT_POLL_MS);
+      await runtime.pause(WAIT_POLL_MS);
       groups = this.listReady(request);
     }
     return { groups, remaining: this.countRemaining() };
@@ -198,7 +197,7 @@
       remainingMs: Math.max(0, this.endMs - clock.nowMs()),
     });
     if (outcome.isErr()) {
-      await pauses.pause(FAILURE_PAUSE_MS);
+      await runtime.pause(FAILURE_PAUSE_MS);
       group.machine.send('fail');
       return;
     }
--- a/packages/daemon/src/target/target.ts
+++ b/packages/daemon/src/target/target.ts
@@ -104,9 +104,7 @@
     state.drain();
     linkTask.announceLeaving();
     work.queue.drain();
-    await new Promise((resolve) => {
-      setTimeout(resolve, LEAVING_NOTICE_MS);
-    });
+    await runtime.pause(LEAVING_NOTICE_MS);
     await http.stop();
     await this.tree.stop();
     await work.close();
--- a/packages/daemon/src/target/weights-task.ts
+++ b/packages/daemon/src/target/weights-task.ts
@@ -13,7 +13,6 @@
 import * as runtime from '@azureworks/runtime';
 import * as leaseNames from '../core/lease-names';
 import type * as states from './target-state';
-import * as pauses from '../utils/pause';
 
 /** What the weights task needs. */
 export interface WeightsTaskOptions {
@@ -106,7 +105,7 @@
         return;
       }
       if (decision === decisions.FenceDecision.Accept && (await this.load(order))) return;
-      await pauses.pause(RETRY_PAUSE_MS);
+      await runtime.pause(RETRY_PAUSE_MS);
     }
   }
 
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -5,7 +5,7 @@
  */
 import type * as http from 'node:http';
 import * as decisions from '@azureworks/decisions';
-import type * as runtime from '@azureworks/runtime';
+import * as runtime from '@azureworks/runtime';
 import * as body from '../core/body';
 import * as forwarders from '../core/forwarder';
 import * as httpTask from '../core/http-task';
@@ -229,9 +229,7 @@
     const waitUntilMs = this.options.clock.nowMs() + Number(url.searchParams.get('wait_ms') ?? 0);
     let state = this.ledger.bar(attempt);
     while (state === ledgers.AttemptState.Running && this.options.clock.nowMs() < waitUntilMs) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, SETTLE_POLL_MS);
-      });
+      await runtime.pause(SETTLE_POLL_MS);
       state = this.ledger.bar(attempt);
     }
     httpTask.sendJson(response, OK, { state, answer: this.ledger.getAnswer(attempt) });
