One description of a replica for the placement, one word for calls that did not run

forwarder and job-runner built the same candidate field by field; the directory, which has the load and the clock, now describes a replica, and each adds what it weighs differently. Three places asked for 'not run or the wrong replica' in three ways, and two had the same constant for the ordinary urgency of a stream; both stand beside the types of the calls now. No change of behaviour: the gateway's tests pass.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -176,15 +176,12 @@
         if ((known.loadingUntilMs.get(model) ?? -Infinity) > nowMs) return false;
         return directory.getLoad(known) < known.replica.slots;
       })
-      .map((known) => ({
-        id: known.replica.id,
-        slots: known.replica.slots,
-        load: directory.getLoad(known),
-        unitMs: known.pace.unitMs,
-        isNear: false,
-        isAvoided: known.pace.isAvoided(nowMs) || entry.replicaId === known.replica.id,
-        known,
-      }));
+      .map((known) => {
+        const candidate = directory.describe(known);
+        const wasLast = entry.replicaId === known.replica.id;
+        // Nearness does not count for items.
+        return { ...candidate, isNear: false, isAvoided: candidate.isAvoided || wasLast };
+      });
     return placement.choosePlacement(candidates, environment.random())?.known;
   }
 
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -52,8 +52,6 @@
 const UNPROCESSABLE = 422;
 /** The only answer that counts as a failure of the item itself. */
 const INTERNAL_ERROR = 500;
-/** An ordinary urgency of requests to replicas. */
-const ORDINARY_PRIORITY = 5;
 
 /** Follows one stream. */
 export class StreamRun implements replicas.StreamReceiver {
@@ -94,7 +92,7 @@
       deadlineMs: terms.deadlineMs,
       signal: this.abort.signal,
       afterEvent: entry.lastEvent,
-      priority: ORDINARY_PRIORITY,
+      priority: replicas.ORDINARY_PRIORITY,
       firstEventMs: FIRST_EVENT_MS,
       silenceMs: SILENCE_MS,
     };
@@ -161,9 +159,7 @@
 
   private judge(outcome: replicas.StreamOutcome): StreamRunEnd {
     const { CallStatus } = replicas;
-    if (outcome.status === CallStatus.NotRun || outcome.status === CallStatus.WrongReplica) {
-      return { kind: 'refused' };
-    }
+    if (replicas.isNotRun(outcome.status)) return { kind: 'refused' };
     if (outcome.status !== CallStatus.Answered) return { kind: 'broken' };
     const { status } = outcome.answer;
     if (status === OK) return { kind: this.abort.signal.aborted ? 'broken' : 'whole' };
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -10,6 +10,7 @@
 import * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
 import * as paces from './pace';
+import type * as placement from './placement';
 
 /** A replica in use, with what this gateway knows of it. */
 export interface KnownReplica {
@@ -27,6 +28,11 @@
   readonly shownVersions: Map<string, number>;
 }
 
+/** A candidate of the placement, with the replica that it stands for. */
+export interface KnownCandidate extends placement.PlacementCandidate {
+  readonly known: KnownReplica;
+}
+
 /** Decodes a replica's row; undefined when it names no replica that can be used. */
 export type DecodeReplica = (row: stores.Row) => replicas.Replica | undefined;
 
@@ -89,6 +95,20 @@
     return known.inFlight + (isFresh ? known.othersLoad : 0);
   }
 
+  /** A replica as the placement sees it. */
+  describe(known: KnownReplica): KnownCandidate {
+    const { environment } = this.parts;
+    return {
+      id: known.replica.id,
+      slots: known.replica.slots,
+      load: this.getLoad(known),
+      unitMs: known.pace.unitMs,
+      isNear: known.replica.failureDomain === environment.failureDomain,
+      isAvoided: known.pace.isAvoided(environment.nowMs()),
+      known,
+    };
+  }
+
   /** Takes in the load that a replica told in an answer. */
   noteLoad(known: KnownReplica, load: replicas.ReplicaLoad | undefined): void {
     if (!load) return;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -162,19 +162,10 @@
   ): directories.KnownReplica | undefined {
     if (service === undefined) return undefined;
     const { environment, directory } = this.parts;
-    const nowMs = environment.nowMs();
     const candidates = directory
       .list(service)
       .filter((known) => !tried.has(known.replica.id))
-      .map((known) => ({
-        id: known.replica.id,
-        slots: known.replica.slots,
-        load: directory.getLoad(known),
-        unitMs: known.pace.unitMs,
-        isNear: known.replica.failureDomain === environment.failureDomain,
-        isAvoided: known.pace.isAvoided(nowMs),
-        known,
-      }));
+      .map((known) => directory.describe(known));
     return placement.choosePlacement(candidates, environment.random())?.known;
   }
 
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -133,9 +133,7 @@
   }
 
   private isRetryable(status: replicas.CallStatus): boolean {
-    if (status === replicas.CallStatus.NotRun) return true;
-    if (status === replicas.CallStatus.WrongReplica) return true;
-    return this.terms.isIdempotent;
+    return replicas.isNotRun(status) || this.terms.isIdempotent;
   }
 
   private giveUp(): void {
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -30,8 +30,6 @@
 }
 
 const OK = 200;
-/** An ordinary urgency of requests to replicas. */
-const ORDINARY_PRIORITY = 5;
 
 /** Runs one stream. */
 export class StreamCall implements replicas.StreamReceiver {
@@ -66,9 +64,7 @@
       if (!known) break;
       const outcome = await this.send(known);
       if (outcome.status === replicas.CallStatus.Answered) return this.conclude(outcome.answer);
-      const isNotRun =
-        outcome.status === replicas.CallStatus.NotRun ||
-        outcome.status === replicas.CallStatus.WrongReplica;
+      const isNotRun = replicas.isNotRun(outcome.status);
       mayHaveRun ||= !isNotRun;
       if (!isNotRun && !this.terms.isResumable) break;
     }
@@ -104,7 +100,7 @@
         deadlineMs: leftMs,
         signal,
         afterEvent: this.lastEvent,
-        priority: ORDINARY_PRIORITY,
+        priority: replicas.ORDINARY_PRIORITY,
         firstEventMs: patienceMs,
         silenceMs: patienceMs,
       },
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -112,6 +112,14 @@
   receive(event: StreamEvent): void;
 }
 
+/** Whether a call is certain not to have run, so that any replica may get it next. */
+export function isNotRun(status: CallStatus): boolean {
+  return status === CallStatus.NotRun || status === CallStatus.WrongReplica;
+}
+
+/** The urgency of a stream that nothing makes more or less urgent than others; see StreamOptions. */
+export const ORDINARY_PRIORITY = 5;
+
 /** How a stream ended: `Answered` when its end was seen. */
 export type StreamOutcome = CallOutcome;
 
