--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -106,7 +106,8 @@
     const waiting = job.listItems(progress.ItemPhase.Waiting);
     const route = this.findRoute(job);
     if (!route || waiting.length === 0) return undefined;
-    const groups = job.listGroups(this.carried, (entry) => this.expectMs(entry, route));
+    const expectMs = this.createEstimate(route);
+    const groups = job.listGroups(this.carried, expectMs);
     return {
       id: job.id,
       dueMs: this.toMonotonic(job.head.submittedMs + route.resultsDueMs),
@@ -117,19 +118,22 @@
       waiting: waiting.map((entry) => ({
         id: entry.item.id,
         group: entry.item.group,
-        expectedMs: this.expectMs(entry, route),
+        expectedMs: expectMs(entry),
       })),
     };
   }
 
-  /** How long an item probably still takes: what the caller estimated, less what is there. */
-  private expectMs(entry: progress.ItemProgress, route: configurations.Route): number {
-    const tokens = entry.item.expectedOutputTokens ?? 0;
+  /** Tells how long items probably still take: what the caller estimated, less what is there. */
+  private createEstimate(route: configurations.Route): (entry: progress.ItemProgress) => number {
     const { current } = this.parts.configuration;
     const service = current?.services.get(route.services[0]?.service ?? '');
-    const events = tokens / Math.max(1, service?.tokensAnEvent ?? 1);
+    const tokensAnEvent = Math.max(1, service?.tokensAnEvent ?? 1);
+    // All replicas of the service are looked at for it, so once for all items.
     const eventMs = this.typicalEventMs(service?.name ?? '');
-    return Math.max(0, events - entry.events.length) * eventMs;
+    return (entry) => {
+      const events = (entry.item.expectedOutputTokens ?? 0) / tokensAnEvent;
+      return Math.max(0, events - entry.events.length) * eventMs;
+    };
   }
 
   private typicalEventMs(service: string): number {
