Texts and facts of jobs are remembered by the same bounded map

job-memory, new in this change, wrote again how partial-texts forgets its oldest entry, and was otherwise a name for a map: both use RecentMap now and job-memory is gone.

--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -64,8 +64,9 @@
 /** What a replica has made of an item so far. */
 export interface PartialText {
   readonly itemId: string;
-  /** The data of all events in order; the last event's id is their number minus one. */
+  /** The data of all events in order. */
   readonly events: readonly string[];
+  /** The id of the last event; the next run goes on after it. */
   readonly lastEvent: number;
   readonly versions: readonly number[];
 }
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -9,11 +9,11 @@
 import type * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
 import * as answers from './answer';
-import * as jobMemories from './job-memory';
 import type * as jobRunners from './job-runner';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
 import * as partialTexts from './partial-texts';
+import * as recentMaps from './recent-map';
 import * as resultReaders from './result-reader';
 import * as runnerChoices from './runner-choice';
 
@@ -31,6 +31,8 @@
   readonly keepMs: number;
 }
 
+/** Jobs of which the unchanging facts are remembered, at the most. */
+const MOST_REMEMBERED = 2000;
 /** How long results of a closed job are held in memory; later reads go to the store. */
 const KEEP_CLOSED_MS = 20_000;
 /** How much longer than it must be readable a job stays in the store, in milliseconds. */
@@ -45,7 +47,7 @@
 export class JobService {
   private readonly owned = new Map<string, ownedJobs.OwnedJob>();
 
-  private readonly memory = jobMemories.JobMemory.create();
+  private readonly facts = recentMaps.RecentMap.create<resultReaders.JobFacts>(MOST_REMEMBERED);
 
   private readonly adopting = new Set<string>();
 
@@ -59,7 +61,7 @@
   private constructor(private readonly parts: JobServiceParts) {
     this.results = resultReaders.ResultReader.create({
       ...parts,
-      memory: this.memory,
+      facts: this.facts,
       findOwned: (id) => this.owned.get(id),
       isStopping: () => this.isStopping,
     });
@@ -104,7 +106,7 @@
     environment.metrics.record('job_submission', {}, tookMs);
     if (outcome.status === stores.StoreStatus.Done) {
       const state = { head, revision: outcome.revision };
-      this.memory.remember(id, { total: items.length, owner: head.owner });
+      this.facts.set(id, { total: items.length, owner: head.owner });
       if (store.isOwn(head)) this.own({ id, state, items, results: [] });
       return { isOk: true, value: undefined };
     }
@@ -199,7 +201,7 @@
       { environment, store, closed: (closed) => this.forgetSoon(closed) },
       content,
     );
-    this.memory.remember(job.id, { total: content.items.length, owner: job.head.owner });
+    this.facts.set(job.id, { total: content.items.length, owner: job.head.owner });
     this.owned.set(job.id, job);
     job.items.forEach((entry) => {
       if (this.texts.adopt(entry, job.head.oldestVersion)) runner.noteCarried(entry.item.id);
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -5,6 +5,7 @@
  */
 import * as progress from './item-progress';
 import type * as records from './job-record';
+import * as recentMaps from './recent-map';
 
 interface KeptText {
   readonly text: records.PartialText;
@@ -18,7 +19,7 @@
 
 /** The kept texts of one gateway. */
 export class PartialTexts {
-  private readonly texts = new Map<string, KeptText>();
+  private readonly texts = recentMaps.RecentMap.create<KeptText>(MOST_TEXTS);
 
   static create(): PartialTexts {
     return new PartialTexts();
@@ -26,7 +27,7 @@
 
   /** Keeps a text that another gateway left. */
   keep(text: records.PartialText): void {
-    this.store(text.itemId, { text, isWhole: false, score: undefined, scoringId: undefined });
+    this.texts.set(text.itemId, { text, isWhole: false, score: undefined, scoringId: undefined });
   }
 
   /** Keeps what an item has. */
@@ -34,7 +35,7 @@
     if (entry.events.length === 0) return;
     const { isTextWhole, score, item } = entry;
     const text = entry.toPartial();
-    this.store(item.id, { text, isWhole: isTextWhole, score, scoringId: item.scoring?.id });
+    this.texts.set(item.id, { text, isWhole: isTextWhole, score, scoringId: item.scoring?.id });
   }
 
   /** Gives an item the text that was kept for it; returns whether there was one. */
@@ -49,13 +50,4 @@
     if (kept.scoringId === entry.item.scoring?.id) entry.score = kept.score;
     return true;
   }
-
-  private store(itemId: string, kept: KeptText): void {
-    this.texts.delete(itemId);
-    if (this.texts.size >= MOST_TEXTS) {
-      const [oldest] = this.texts.keys();
-      if (oldest !== undefined) this.texts.delete(oldest);
-    }
-    this.texts.set(itemId, kept);
-  }
 }
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -6,10 +6,10 @@
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
 import * as answers from './answer';
-import type * as jobMemories from './job-memory';
 import type * as records from './job-record';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
+import type * as recentMaps from './recent-map';
 import type * as runnerChoices from './runner-choice';
 
 /** A gateway that takes new work. */
@@ -39,11 +39,19 @@
   readonly results: readonly jobs.ItemResult[];
 }
 
+/** What is remembered of a job that may be run elsewhere. */
+export interface JobFacts {
+  readonly total: number;
+  /** Who ran it when it was last looked up; null when that is not known. */
+  readonly owner: records.JobOwner | null;
+}
+
 /** What the reader needs. */
 export interface ResultReaderParts {
   readonly environment: environments.Environment;
   readonly store: jobStores.JobStore;
-  readonly memory: jobMemories.JobMemory;
+  /** Saves readers that ask again a look at the job's head; the store has it all. */
+  readonly facts: recentMaps.RecentMap<JobFacts>;
   /** A job that is run here or was to its end. */
   readonly findOwned: (id: string) => ownedJobs.OwnedJob | undefined;
   /** Whether no other gateway can have taken this one's jobs over. */
@@ -148,8 +156,8 @@
     leftMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { listWorkers, peers, environment, memory } = this.parts;
-    const owner = memory.get(id)?.owner;
+    const { listWorkers, peers, environment, facts } = this.parts;
+    const owner = facts.get(id)?.owner;
     const worker = listWorkers().find(
       (candidate) => candidate.vm === owner?.vm && candidate.vm !== environment.vm,
     );
@@ -157,24 +165,25 @@
       worker && (await peers.waitForResult(worker.address, id, position, leftMs, signal));
     if (isTold) return;
     // Whoever runs it now, the store tells what is listed.
-    memory.forgetOwner(id);
+    const known = facts.get(id);
+    if (known) facts.set(id, { ...known, owner: null });
     await environment.pause(Math.min(LOOK_MS, leftMs));
   }
 
   private async readStored(id: string, position: number): Promise<answers.Answer<ResultsPage>> {
-    const { store, memory } = this.parts;
-    let facts = memory.get(id);
-    if (!facts?.owner) {
+    const { store, facts } = this.parts;
+    let known = facts.get(id);
+    if (!known?.owner) {
       const state = await store.readHead(id);
       if (state === jobStores.UNREADABLE)
         return answers.fail('store-unavailable', answers.STORE_RETRY_MS);
       if (!state) return answers.fail('unknown-job');
-      facts = { total: state.head.total, owner: state.head.owner };
-      memory.remember(id, facts);
+      known = { total: state.head.total, owner: state.head.owner };
+      facts.set(id, known);
     }
     const results = await store.readResults(id, position);
     if (results === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_MS);
-    return { isOk: true, value: { total: facts.total, results } };
+    return { isOk: true, value: { total: known.total, results } };
   }
 }
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -2,8 +2,8 @@
  * Finds batch jobs that nobody runs and takes over those that fall to this gateway.
  *
  * A job whose owner was restarted falls to the new process on the same VM; any other to the
- * gateway that runs the jobs of its model now. Two gateways that disagree on who lives may both try: the head
- * row decides.
+ * gateway that runs the jobs of its model now. Two gateways that disagree on who lives may both
+ * try: the head row decides.
  */
 import type * as runtime from '@azureworks/runtime';
 import type * as environments from '../types/environment';
