One moving average for daemon and gateway

The gateway's Pace wrote the daemon's MovingAverage again. It moves to the decisions package, and both use it; the first observation is the initial value, as before.

--- a/packages/daemon/src/entry/service-times.ts
+++ b/packages/daemon/src/entry/service-times.ts
@@ -5,7 +5,7 @@
  * attempt therefore teaches the speed of its target, in bytes a millisecond, whether it ended or
  * not; the service time is that of an average answer at that speed.
  */
-import * as averages from '../utils/average';
+import * as decisions from '@azureworks/decisions';
 
 /** One attempt that is over. */
 export interface ObservedAttempt {
@@ -23,11 +23,11 @@
 
 /** Learns and tells service times. */
 export class ServiceTimes {
-  private readonly speeds = new Map<string, averages.MovingAverage>();
+  private readonly speeds = new Map<string, decisions.MovingAverage>();
 
-  private readonly durations = new Map<string, averages.MovingAverage>();
+  private readonly durations = new Map<string, decisions.MovingAverage>();
 
-  private answerBytes: averages.MovingAverage | undefined;
+  private answerBytes: decisions.MovingAverage | undefined;
 
   static create(): ServiceTimes {
     return new ServiceTimes();
@@ -42,7 +42,7 @@
     if (durationMs >= SHORTEST_OBSERVATION_MS) addTo(this.speeds, target, bytes / durationMs);
     if (!isAnswered) return;
     if (this.answerBytes) this.answerBytes.add(bytes);
-    else this.answerBytes = averages.MovingAverage.create(SMOOTHING, bytes);
+    else this.answerBytes = decisions.MovingAverage.create(SMOOTHING, bytes);
   }
 
   /** The service time of a target in milliseconds; that of the others while it is not known. */
@@ -70,13 +70,13 @@
   }
 }
 
-function addTo(values: Map<string, averages.MovingAverage>, target: string, value: number): void {
+function addTo(values: Map<string, decisions.MovingAverage>, target: string, value: number): void {
   const known = values.get(target);
   if (known) known.add(value);
-  else values.set(target, averages.MovingAverage.create(SMOOTHING, value));
+  else values.set(target, decisions.MovingAverage.create(SMOOTHING, value));
 }
 
-function computeMean(values: ReadonlyMap<string, averages.MovingAverage>): number | undefined {
+function computeMean(values: ReadonlyMap<string, decisions.MovingAverage>): number | undefined {
   if (values.size === 0) return undefined;
   const sum = [...values.values()].reduce((total, average) => total + average.value, 0);
   return sum / values.size;
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -11,7 +11,6 @@
 import * as httpTask from '../core/http-task';
 import * as topics from '../core/topic';
 import * as headers from '../types/headers';
-import * as averages from '../utils/average';
 import * as ledgers from './ledger';
 import * as queues from './work-queue';
 import type * as states from './target-state';
@@ -47,7 +46,7 @@
   /** Published when the target refused a connection. */
   readonly losses = topics.Topic.create<string>();
 
-  private readonly serviceTime = averages.MovingAverage.create(
+  private readonly serviceTime = decisions.MovingAverage.create(
     SERVICE_TIME_WEIGHT,
     INITIAL_SERVICE_TIME_MS,
   );
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,6 +7,7 @@
 export type { Policy } from './types/policy';
 export { ManualClock } from './utils/manual-clock';
 export { MonotonicClock } from './utils/monotonic-clock';
+export { MovingAverage } from './utils/moving-average';
 export { SeededRandom } from './utils/seeded-random';
 export { combineHashes, hashText } from './utils/hash';
 export { VerdictKind, combineVerdicts, isRetryable, isVerdictKind } from './core/verdict';
--- a/packages/gateway/src/replicas/pace.ts
+++ b/packages/gateway/src/replicas/pace.ts
@@ -1,6 +1,7 @@
 /**
  * How fast and how well a replica works, learned from its answers.
  */
+import * as decisions from '@azureworks/decisions';
 
 /** Weight of the newest observation in the moving average. */
 const NEWEST_SHARE = 0.2;
@@ -12,7 +13,7 @@
 
 /** What one gateway has learned of one replica. */
 export class Pace {
-  private averageMs: number | undefined;
+  private average: decisions.MovingAverage | undefined;
 
   private failures = 0;
 
@@ -26,7 +27,7 @@
 
   /** Milliseconds a unit of work takes; undefined before the first observation. */
   get unitMs(): number | undefined {
-    return this.averageMs;
+    return this.average?.value;
   }
 
   /** Whether the replica should be left alone at `nowMs`. */
@@ -36,10 +37,8 @@
 
   /** Notes how long a unit of work took. */
   observe(unitMs: number): void {
-    this.averageMs =
-      this.averageMs === undefined
-        ? unitMs
-        : this.averageMs + NEWEST_SHARE * (unitMs - this.averageMs);
+    this.average ??= decisions.MovingAverage.create(NEWEST_SHARE, unitMs);
+    this.average.add(unitMs);
   }
 
   /** Notes a good answer. */
@@ -69,6 +68,6 @@
 
   /** Forgets the average, so that the next observation tells how the replica does now. */
   reset(): void {
-    this.averageMs = undefined;
+    this.average = undefined;
   }
 }
