--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -11,15 +11,6 @@
   return answer.value.results;
 }
 
-async function settle<Value>(promise: Promise<Value>, limitMs = 10_000): Promise<Value> {
-  let isDone = false;
-  promise.finally(() => {
-    isDone = true;
-  });
-  for (let waitedMs = 0; !isDone && waitedMs < limitMs; waitedMs += 50) await time.pass(50);
-  return promise;
-}
-
 function expectWhole(results: readonly gateway.ItemResult[], job: gateway.BatchJob): void {
   expect([...results.map((result) => result.itemId)].sort()).toEqual(
     job.items.map((item) => item.id).sort(),
@@ -51,12 +42,12 @@
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
     const job = systems.createJob('job', 3, 4);
-    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    expect((await time.settle(first.jobs.submit(job))).isOk).toBe(true);
     await time.pass(3000);
-    const results = await settle(readAll(first, 'job'));
+    const results = await time.settle(readAll(first, 'job'));
     expectWhole(results, job);
     results.forEach((result) => expect(result.versions).toEqual([1]));
-    expect(await settle(readAll(second, 'job'))).toEqual(results);
+    expect(await time.settle(readAll(second, 'job'))).toEqual(results);
   });
 
   it('accepts a job once, however often it is submitted and wherever', async () => {
@@ -64,7 +55,7 @@
     const second = await system.start('vm-2');
     const job = systems.createJob('job', 1, 2);
     const answers = [first.jobs.submit(job), second.jobs.submit(job), first.jobs.submit(job)];
-    const ends = await settle(Promise.all(answers));
+    const ends = await time.settle(Promise.all(answers));
     expect(ends.map((end) => end.isOk)).toEqual([true, true, true]);
     await time.pass(2000);
     expect(system.replicas.runs).toHaveLength(2);
@@ -74,16 +65,16 @@
     const first = await system.start('vm-1');
     system.store.faults.loseAnswers = 1;
     const job = systems.createJob('job', 1, 2);
-    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    expect((await time.settle(first.jobs.submit(job))).isOk).toBe(true);
     await time.pass(2000);
-    expectWhole(await settle(readAll(first, 'job')), job);
+    expectWhole(await time.settle(readAll(first, 'job')), job);
     expect(system.replicas.runs).toHaveLength(2);
   });
 
   it('refuses a job as not run only when nothing of it can be stored later', async () => {
     const first = await system.start('vm-1');
     system.store.faults.isRefusing = true;
-    const refused = await settle(first.jobs.submit(systems.createJob('refused', 1, 2)));
+    const refused = await time.settle(first.jobs.submit(systems.createJob('refused', 1, 2)));
     expect(refused).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
     system.store.faults.isRefusing = false;
     await time.pass(10_000);
@@ -91,7 +82,7 @@
 
     system.store.faults.applyLate = 1000;
     system.store.faults.lateMs = 20_000;
-    const unknown = await settle(first.jobs.submit(systems.createJob('unknown', 1, 2)));
+    const unknown = await time.settle(first.jobs.submit(systems.createJob('unknown', 1, 2)));
     expect(unknown).toMatchObject({ isOk: false, failure: { code: 'outcome-unknown' } });
   });
 
@@ -100,11 +91,11 @@
     system.store.faults.applyLate = 1000;
     system.store.faults.lateMs = 4000;
     const job = systems.createJob('late', 1, 2);
-    const answer = await settle(first.jobs.submit(job));
+    const answer = await time.settle(first.jobs.submit(job));
     expect(answer).toMatchObject({ isOk: false, failure: { code: 'outcome-unknown' } });
     system.store.faults.applyLate = 0;
     await time.pass(12_000);
-    expectWhole(await settle(readAll(first, 'late')), job);
+    expectWhole(await time.settle(readAll(first, 'late')), job);
   });
 
   it('goes on from the texts that a stopping gateway left, without a piece twice', async () => {
@@ -113,16 +104,16 @@
     const job = systems.createJob('job', 1, 3);
     job.items.forEach((item) => system.replicas.lengths.set(item.id, 30));
     system.replicas.lengths.set('job-0', 3);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     // The listing of one result is under way while the other texts are still growing.
     system.store.faults.slowMs = 150;
     await time.pass(100);
     first.prepareStop();
-    await settle(first.release());
+    await time.settle(first.release());
     system.store.faults.slowMs = 0;
-    await settle(first.stop());
+    await time.settle(first.stop());
     await time.pass(3000);
-    const results = await settle(readAll(second, 'job'));
+    const results = await time.settle(readAll(second, 'job'));
     results
       .filter((result) => result.itemId !== 'job-0')
       .forEach((result) => {
@@ -139,13 +130,13 @@
       system.replicas.behaviourOf(id).breakAfter = 4;
     });
     const job = systems.createJob('job', 1, 2);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(300);
     ['e1', 'e2', 'e3'].forEach((id) => {
       system.replicas.behaviourOf(id).breakAfter = undefined;
     });
     await time.pass(8000);
-    expectWhole(await settle(readAll(first, 'job')), job);
+    expectWhole(await time.settle(readAll(first, 'job')), job);
     expect(system.replicas.runs.length).toBeLessThan(20);
   });
 
@@ -155,7 +146,7 @@
     const second = await system.start('vm-2');
     const job = systems.createJob('job', 1, 2);
     job.items.forEach((item) => system.replicas.lengths.set(item.id, 200));
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(2500);
     reach.isAlone = true;
     const before = system.replicas.runs.length;
@@ -164,7 +155,7 @@
     expect(later.length).toBeGreaterThanOrEqual(2);
     later.forEach((run) => expect(run.afterEvent).toBeGreaterThan(40));
     await time.pass(5000);
-    const results = await settle(readAll(second, 'job'));
+    const results = await time.settle(readAll(second, 'job'));
     results.forEach((result) => {
       expect(result.text).toBe(fakeReplicas.createText(result.itemId, 200));
     });
@@ -176,7 +167,7 @@
     const former = await system.start('vm-1', 'vm-1-first', reach);
     const job = systems.createJob('job', 1, 2);
     job.items.forEach((item) => system.replicas.lengths.set(item.id, 100));
-    await settle(former.jobs.submit(job));
+    await time.settle(former.jobs.submit(job));
     await time.pass(200);
     reach.isAlone = true;
     await system.start('vm-1', 'vm-1-second');
@@ -197,10 +188,10 @@
     await time.pass(1500);
     reach.isCut = true;
     const job = systems.createJob('job', 1, 4);
-    expect((await settle(first.jobs.submit(job))).isOk).toBe(true);
+    expect((await time.settle(first.jobs.submit(job))).isOk).toBe(true);
     await time.pass(5000);
     expect(first.jobs.openCount).toBe(0);
-    expectWhole(await settle(readAll(first, 'job')), job);
+    expectWhole(await time.settle(readAll(first, 'job')), job);
     expect(system.replicas.runs).toHaveLength(4);
   });
 
@@ -214,16 +205,16 @@
     const runners: number[] = [];
     for (const [index, accepting] of all.entries()) {
       const job = systems.createJob(`job-${index}`, 1, 4);
-      expect((await settle(accepting.jobs.submit(job))).isOk).toBe(true);
+      expect((await time.settle(accepting.jobs.submit(job))).isOk).toBe(true);
       await time.pass(60);
       runners.push(all.findIndex((candidate) => candidate.jobs.has(job.id)));
       const started = time.nowMs();
       const reading = accepting.jobs.results.read(job.id, 0, 1000, NEVER);
-      const answer = await settle(reading);
+      const answer = await time.settle(reading);
       expect(answer.isOk && answer.value.results.length).toBeGreaterThan(0);
       expect(time.nowMs() - started).toBeLessThan(500);
       await time.pass(1000);
-      expectWhole(await settle(readAll(accepting, job.id)), job);
+      expectWhole(await time.settle(readAll(accepting, job.id)), job);
     }
     expect(new Set(runners).size).toBe(1);
     expect(runners[0]).toBeGreaterThanOrEqual(0);
@@ -237,21 +228,21 @@
     ];
     await time.pass(1500);
     const first = systems.createJob('first', 1, 1);
-    await settle(all[0].jobs.submit(first));
+    await time.settle(all[0].jobs.submit(first));
     await time.pass(100);
     const runner = all.find((candidate) => candidate.jobs.has('first'))!;
     const accepting = all.find((candidate) => candidate !== runner)!;
     // The acceptor does not know yet that the runner is about to stop.
     runner.prepareStop();
     const job = systems.createJob('second', 1, 2);
-    await settle(accepting.jobs.submit(job));
-    await settle(runner.release());
+    await time.settle(accepting.jobs.submit(job));
+    await time.settle(runner.release());
     // Sooner than the rows of the members are read again.
     await time.pass(300);
     expect(all.some((candidate) => candidate.jobs.has('second'))).toBe(true);
     await time.pass(1000);
     expect(runner.jobs.has('second')).toBe(false);
-    expectWhole(await settle(readAll(accepting, 'second')), job);
+    expectWhole(await time.settle(readAll(accepting, 'second')), job);
   });
 
   it('keeps positions when two gateways believe that they run the job', async () => {
@@ -260,27 +251,27 @@
     const second = await system.start('vm-2');
     const job = systems.createJob('job', 2, 4);
     job.items.forEach((item, index) => system.replicas.lengths.set(item.id, 20 + index * 20));
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(900);
-    const early = await settle(readAll(first, 'job'));
+    const early = await time.settle(readAll(first, 'job'));
     expect(early.length).toBeGreaterThan(0);
     reach.isAlone = true;
     await time.pass(3000);
     reach.isAlone = false;
     await time.pass(12_000);
-    const results = await settle(readAll(second, 'job'));
+    const results = await time.settle(readAll(second, 'job'));
     expect(results.slice(0, early.length)).toEqual(early);
     expect(new Set(results.map((result) => result.itemId)).size).toBe(8);
     expect(results).toHaveLength(8);
-    expect(await settle(readAll(first, 'job'))).toEqual(results);
+    expect(await time.settle(readAll(first, 'job'))).toEqual(results);
   });
 
   it('says that there is no such job only after the store was read', async () => {
     const first = await system.start('vm-1');
-    const missing = await settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
+    const missing = await time.settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
     expect(missing).toMatchObject({ isOk: false, failure: { code: 'unknown-job' } });
     system.store.faults.isRefusing = true;
-    const unsure = await settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
+    const unsure = await time.settle(first.jobs.results.read('nowhere', 0, 0, NEVER));
     expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
   });
 
@@ -288,10 +279,10 @@
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 1, 2);
     job.items.forEach((item) => system.replicas.lengths.set(item.id, 1000));
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     system.store.faults.isRefusing = true;
     await time.pass(2500);
-    const unsure = await settle(first.jobs.results.read('job', 0, 0, NEVER));
+    const unsure = await time.settle(first.jobs.results.read('job', 0, 0, NEVER));
     expect(unsure).toMatchObject({ isOk: false, failure: { code: 'store-unavailable' } });
   });
 
@@ -300,70 +291,70 @@
     const second = await system.start('vm-2');
     const job = systems.createJob('job', 1, 4);
     job.items.forEach((item) => system.replicas.lengths.set(item.id, 1000));
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(200);
-    expect((await settle(second.jobs.end('job'))).isOk).toBe(true);
-    expect((await settle(first.jobs.end('job'))).isOk).toBe(true);
+    expect((await time.settle(second.jobs.end('job'))).isOk).toBe(true);
+    expect((await time.settle(first.jobs.end('job'))).isOk).toBe(true);
     await time.pass(200);
     expect(first.jobs.openCount).toBe(0);
     const runs = system.replicas.runs.length;
     await time.pass(5000);
     expect(system.replicas.runs).toHaveLength(runs);
-    const body = await settle(second.jobs.results.readBody('job', 'job-0'));
+    const body = await time.settle(second.jobs.results.readBody('job', 'job-0'));
     expect(body).toMatchObject({ isOk: false, failure: { code: 'unknown-item' } });
   });
 
-  it('does not hide results whose listing lost its answer when the job was ended', async () => {
+  /** A job of a short and a long item, the gateway that runs it, and another. */
+  async function startShortAndLong(): Promise<{
+    readonly owner: gateway.Gateway;
+    readonly other: gateway.Gateway;
+  }> {
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
-    const job = systems.createJob('job', 1, 2);
     system.replicas.lengths.set('job-0', 3);
     system.replicas.lengths.set('job-1', 500);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2)));
     const owner = first.jobs.has('job') ? first : second;
-    const other = owner === first ? second : first;
+    return { owner, other: owner === first ? second : first };
+  }
+
+  it('does not hide results whose listing lost its answer when the job was ended', async () => {
+    const { owner, other } = await startShortAndLong();
     system.store.faults.loseAnswers = 1;
     await time.pass(60);
     // The listing of the first result took effect, and its owner does not know yet.
     expect(system.store.inspect('results')).toHaveLength(1);
-    await settle(other.jobs.end('job'));
+    await time.settle(other.jobs.end('job'));
     await time.pass(1000);
-    const results = await settle(readAll(other, 'job'));
+    const results = await time.settle(readAll(other, 'job'));
     expect(results.map((result) => result.itemId)).toEqual(['job-0']);
-    expect(await settle(readAll(owner, 'job'))).toEqual(results);
+    expect(await time.settle(readAll(owner, 'job'))).toEqual(results);
   });
 
   it('does not hide results while their listing has no answer', async () => {
-    const first = await system.start('vm-1');
-    const second = await system.start('vm-2');
-    const job = systems.createJob('job', 1, 2);
-    system.replicas.lengths.set('job-0', 3);
-    system.replicas.lengths.set('job-1', 500);
-    await settle(first.jobs.submit(job));
-    const owner = first.jobs.has('job') ? first : second;
-    const other = owner === first ? second : first;
+    const { owner, other } = await startShortAndLong();
     system.store.faults.loseAnswers = 6;
     await time.pass(60);
-    const results = await settle(readAll(other, 'job'));
+    const results = await time.settle(readAll(other, 'job'));
     expect(results.map((result) => result.itemId)).toEqual(['job-0']);
-    expect(await settle(readAll(owner, 'job'))).toEqual(results);
+    expect(await time.settle(readAll(owner, 'job'))).toEqual(results);
   });
 
   it('does not begin a job again that it runs already', async () => {
     const first = await system.start('vm-1');
-    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2)));
     const row = system.store.inspect('jobs').find((candidate) => candidate.key === 'head');
     const head = JSON.parse(row?.value.toString() ?? '') as never;
-    await settle(first.jobs.adopt('job', { head, revision: row?.revision ?? 0 }));
+    await time.settle(first.jobs.adopt('job', { head, revision: row?.revision ?? 0 }));
     await time.pass(2000);
     expect(system.replicas.runs).toHaveLength(2);
   });
 
   it('removes a job from the store once nobody can ask for it any more', async () => {
     const first = await system.start('vm-1');
-    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2)));
     await time.pass(110_000);
-    expect(await settle(readAll(first, 'job'))).toHaveLength(2);
+    expect(await time.settle(readAll(first, 'job'))).toHaveLength(2);
     await time.pass(90_000);
     const left = ['jobs', 'results', 'partials', 'notices', 'open'].flatMap((table) =>
       system.store.inspect(table),
@@ -374,9 +365,9 @@
   it('gives the body of an item that is not listed, at every gateway', async () => {
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
-    await settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2)));
     for (const from of [first, second]) {
-      const body = await settle(from.jobs.results.readBody('job', 'job-1'));
+      const body = await time.settle(from.jobs.results.readBody('job', 'job-1'));
       expect(body).toMatchObject({ isOk: true, value: Buffer.from('body of job-1') });
     }
   });
@@ -385,9 +376,9 @@
     system.addReplica('e4', { version: 2 });
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 1, 3, 2);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(3000);
-    const results = await settle(readAll(first, 'job'));
+    const results = await time.settle(readAll(first, 'job'));
     expect(results).toHaveLength(3);
     results.forEach((result) => expect(result.versions).toEqual([2]));
     expect(new Set(system.replicas.runs.map((run) => run.replica))).toEqual(new Set(['e4']));
@@ -403,9 +394,9 @@
     );
     system.addReplica('e4', { version: 3 });
     const job = systems.createJob('job', 1, 8, 3);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(4000);
-    const results = await settle(readAll(first, 'job'));
+    const results = await time.settle(readAll(first, 'job'));
     expect(results).toHaveLength(8);
     results.forEach((result) => expect(result.versions).toEqual([3]));
   });
@@ -414,11 +405,11 @@
     system.configure(systems.createConfiguration(2, { itemLifetimeMs: 2000 }));
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 1, 2, 9);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(1500);
-    expect(await settle(readAll(first, 'job'))).toHaveLength(0);
+    expect(await time.settle(readAll(first, 'job'))).toHaveLength(0);
     await time.pass(2500);
-    const results = await settle(readAll(first, 'job'));
+    const results = await time.settle(readAll(first, 'job'));
     expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
   });
 
@@ -429,18 +420,18 @@
     });
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 1, 1);
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(3000);
-    const results = await settle(readAll(first, 'job'));
+    const results = await time.settle(readAll(first, 'job'));
     expect(results.map((result) => result.state)).toEqual(['terminated']);
     expect(system.replicas.calls.length).toBeGreaterThanOrEqual(4);
 
     // With one replica left each call brings one failure.
     system.store.remove('replicas', '', 'p2');
     const calls = system.replicas.calls.length;
-    await settle(first.jobs.submit(systems.createJob('second', 1, 1)));
+    await time.settle(first.jobs.submit(systems.createJob('second', 1, 1)));
     await time.pass(3000);
-    expect(await settle(readAll(first, 'second'))).toHaveLength(1);
+    expect(await time.settle(readAll(first, 'second'))).toHaveLength(1);
     expect(system.replicas.calls.length - calls).toBeGreaterThanOrEqual(4);
   });
 
@@ -448,9 +439,9 @@
     const first = await system.start('vm-1');
     const job = systems.createJob('job', 2, 4);
     system.replicas.behaviourOf('e1').isSilent = true;
-    await settle(first.jobs.submit(job));
+    await time.settle(first.jobs.submit(job));
     await time.pass(3000);
-    expectWhole(await settle(readAll(first, 'job')), job);
+    expectWhole(await time.settle(readAll(first, 'job')), job);
     const silent = system.replicas.runs.filter((run) => run.replica === 'e1');
     const asked = new Set(silent.map((run) => run.startedMs));
     expect(asked.size).toBe(1);
--- a/packages/gateway/__tests__/plain-calls.test.ts
+++ b/packages/gateway/__tests__/plain-calls.test.ts
@@ -1,7 +1,7 @@
 import type * as gateway from '@azureworks/gateway';
 import * as plainCalls from '../src/requests/plain-call';
-import * as directories from '../src/replicas/directory';
 import * as fakeReplicas from './support/fake-replicas';
+import * as plainDirectories from './support/plain-directory';
 import * as time from './support/virtual-time';
 
 interface Setup {
@@ -27,35 +27,19 @@
     readonly end: plainCalls.PlainCallEnd;
     readonly tookMs: number;
   }> {
-    const directory = directories.Directory.create({
-      environment: time.createEnvironment('vm'),
-      decode: (row) => ({
-        id: row.key,
-        service: 's',
-        address: `${row.key}:1`,
-        failureDomain: 'a',
-        slots: 4,
-        isDraining: false,
-        bornMs: 1,
-        modelVersions: new Map(),
-      }),
-      isStoreSteady: () => true,
-    });
-    const rows = ['r1', 'r2', 'r3'].map((key) => ({
-      table: 't',
-      partition: '',
-      key,
-      value: Buffer.alloc(0),
-      revision: 1,
-    }));
-    directory.replace(rows);
+    const directory = plainDirectories.createDirectory(time.createEnvironment('vm'), [
+      'r1',
+      'r2',
+      'r3',
+    ]);
     const startMs = time.nowMs();
     const endMs = startMs + (setup.endMs ?? 1000);
     const call = plainCalls.PlainCall.create(
       {
         caller: replicas,
         nowMs: time.nowMs,
-        choose: (tried) => directory.list('s').find((known) => !tried.has(known.replica.id)),
+        choose: (tried) =>
+          directory.list(plainDirectories.SERVICE).find((known) => !tried.has(known.replica.id)),
         note: () => {},
       },
       {
--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -1,9 +1,9 @@
 import type * as gateway from '@azureworks/gateway';
 import type * as runtime from '@azureworks/runtime';
 import type * as configurationKeepers from '../src/configuration/configuration-keeper';
-import * as directories from '../src/replicas/directory';
 import * as forwarders from '../src/requests/forwarder';
 import * as fakeReplicas from './support/fake-replicas';
+import * as plainDirectories from './support/plain-directory';
 import * as systems from './support/small-system';
 import * as time from './support/virtual-time';
 
@@ -34,23 +34,7 @@
     const environment = { ...time.createEnvironment('vm'), log };
     const configuration = systems.createConfiguration(7);
     const route = { ...configuration.routes[1], timeoutMs: 400, mostAttempts: 1 };
-    const directory = directories.Directory.create({
-      environment,
-      decode: (row) => ({
-        id: row.key,
-        service: 'plain',
-        address: 'address:1',
-        failureDomain: 'a',
-        slots: 4,
-        isDraining: false,
-        bornMs: 1,
-        modelVersions: new Map(),
-      }),
-      isStoreSteady: () => true,
-    });
-    directory.replace([
-      { table: 't', partition: '', key: 'slow', value: Buffer.alloc(0), revision: 1 },
-    ]);
+    const directory = plainDirectories.createDirectory(environment, ['slow']);
     const replicas = fakeReplicas.FakeReplicas.create();
     replicas.behaviourOf('slow').answerMs = 10_000;
     const keeper = { current: configuration } as configurationKeepers.ConfigurationKeeper;
--- a/packages/gateway/__tests__/row-lifecycle.test.ts
+++ b/packages/gateway/__tests__/row-lifecycle.test.ts
@@ -11,9 +11,10 @@
 
 const NEVER = new AbortController().signal;
 const VMS = 3;
+/** Calls may go on for this long while the store fails, in milliseconds. */
+const LIMIT_MS = 15_000;
 /** Lengths of the items of a job: some are whole at once, some after several seconds. */
 const EVENTS = [5, 40, 150, 300];
-const LIMIT_MS = 15_000;
 /** Lapses of members, looks for open jobs and the items of all jobs fit into it several times. */
 const QUIET_MS = 40_000;
 const LOOK_MS = 400;
@@ -75,14 +76,8 @@
   }
 }
 
-async function settle<Value>(promise: Promise<Value>): Promise<Value> {
-  let isDone = false;
-  promise.finally(() => {
-    isDone = true;
-  });
-  for (let waitedMs = 0; !isDone && waitedMs < LIMIT_MS; waitedMs += 50) await time.pass(50);
-  expect(isDone).toBe(true);
-  return promise;
+function settle<Value>(promise: Promise<Value>): Promise<Value> {
+  return time.settle(promise, LIMIT_MS);
 }
 
 /** Reads a job from a position on and holds the answer against what was read before. */
--- a/packages/gateway/__tests__/streams.test.ts
+++ b/packages/gateway/__tests__/streams.test.ts
@@ -1,7 +1,6 @@
-import type * as gateway from '@azureworks/gateway';
-import * as directories from '../src/replicas/directory';
 import * as streamCalls from '../src/requests/stream-call';
 import * as fakeReplicas from './support/fake-replicas';
+import * as plainDirectories from './support/plain-directory';
 import * as time from './support/virtual-time';
 
 describe('a streaming request', () => {
@@ -20,10 +19,9 @@
     isResumable: boolean,
     signal = new AbortController().signal,
   ): Promise<{ readonly end: streamCalls.StreamCallEnd; readonly seen: string[] }> {
-    const known = ['r1', 'r2', 'r3'].map((id) => ({
-      replica: { id } as gateway.Replica,
-      inFlight: 0,
-    })) as unknown as directories.KnownReplica[];
+    const known = plainDirectories
+      .createDirectory(time.createEnvironment('vm'), ['r1', 'r2', 'r3'])
+      .list(plainDirectories.SERVICE);
     const seen: string[] = [];
     const call = streamCalls.StreamCall.create(
       {
--- /dev/null
+++ b/packages/gateway/__tests__/support/plain-directory.ts
@@ -0,0 +1,33 @@
+/**
+ * A directory of sound replicas of a plain service.
+ */
+import type * as gateway from '@azureworks/gateway';
+import * as directories from '../../src/replicas/directory';
+
+/** The service of the replicas. */
+export const SERVICE = 'plain';
+
+/** A directory in which replicas with these ids have registered. */
+export function createDirectory(
+  environment: gateway.Environment,
+  ids: readonly string[],
+): directories.Directory {
+  const directory = directories.Directory.create({
+    environment,
+    decode: (row) => ({
+      id: row.key,
+      service: SERVICE,
+      address: `${row.key}:1`,
+      failureDomain: 'a',
+      slots: 4,
+      isDraining: false,
+      bornMs: 1,
+      modelVersions: new Map(),
+    }),
+    isStoreSteady: () => true,
+  });
+  directory.replace(
+    ids.map((key) => ({ table: 't', partition: '', key, value: Buffer.alloc(0), revision: 1 })),
+  );
+  return directory;
+}
--- a/packages/gateway/__tests__/support/virtual-time.ts
+++ b/packages/gateway/__tests__/support/virtual-time.ts
@@ -23,6 +23,26 @@
   return jest.advanceTimersByTimeAsync(durationMs);
 }
 
+/** How long a promise may stay open while time passes, and in which steps it passes. */
+const SETTLE_LIMIT_MS = 10_000;
+const SETTLE_STEP_MS = 50;
+
+/** Lets time pass until a promise is settled; one that stays open fails the test. */
+export async function settle<Value>(
+  promise: Promise<Value>,
+  limitMs = SETTLE_LIMIT_MS,
+): Promise<Value> {
+  let isDone = false;
+  promise.finally(() => {
+    isDone = true;
+  });
+  for (let waitedMs = 0; !isDone && waitedMs < limitMs; waitedMs += SETTLE_STEP_MS) {
+    await pass(SETTLE_STEP_MS);
+  }
+  expect(isDone).toBe(true);
+  return promise;
+}
+
 /** An environment on simulated time. */
 export function createEnvironment(
   vm: string,
