The product's daemon: answers without end are abandoned, unexpected errors do not end it

Cause, each shown by a test that failed before: an entry collected a buffered answer, an event or events of a target without a limit until the deadline, and searched an incomplete event again for each piece; azureworksd had no handler for unexpected errors, so that one outside of any request ended all.

Change: an answer that is buffered may have 4 MiB, an incomplete event 1 MiB, a whole streamed answer 8 MiB, each at most 65,536 pieces; beyond them the connection is closed, with the verdict that the request may have run. The stream joiner searches new bytes only. Errors that nothing expects are logged once the daemon is listening; at its start they still end it.

--- a/packages/daemon/src/bin/azureworksd.ts
+++ b/packages/daemon/src/bin/azureworksd.ts
@@ -77,6 +77,10 @@
   process.on('SIGINT', stop);
   const { httpPort, controlPort } = await daemon.start();
   daemonLog.info('listening', { httpPort, controlPort });
+  // An error that nothing expects must not end the requests that have nothing to do with it.
+  process.on('uncaughtException', (error) => {
+    daemonLog.warn('uncaught error', { error: String(error.stack ?? error) });
+  });
 }
 
 commander.program
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -29,6 +29,9 @@
 }
 
 const MINIMUM_ERROR_STATUS = 400;
+/** Limits of an answer that is buffered; a target that exceeds them sends bytes without end. */
+const MAXIMUM_BUFFERED_BYTES = 4 * 1024 * 1024;
+const MAXIMUM_BUFFERED_PIECES = 65_536;
 
 /** One attempt at one target. */
 export class Attempt implements forwardedRequests.ResponseHandler {
@@ -42,6 +45,8 @@
 
   private readonly chunks: Buffer[] = [];
 
+  private bufferedBytes = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: AttemptOptions) {}
@@ -78,10 +83,11 @@
 
   data(chunk: Buffer): boolean {
     if (!this.isStreaming()) {
-      this.chunks.push(chunk);
+      this.buffer(chunk);
       return true;
     }
     const events = this.options.joiner.push(chunk);
+    if (this.options.joiner.isOversized) this.abandon();
     if (!events || !this.options.sink) return true;
     return this.options.sink.write(events);
   }
@@ -106,6 +112,22 @@
     this.completeWithFailure(decisions.createFailure('target-failed', detail));
   }
 
+  private buffer(chunk: Buffer): void {
+    this.chunks.push(chunk);
+    this.bufferedBytes += chunk.length;
+    const isOversized =
+      this.bufferedBytes > MAXIMUM_BUFFERED_BYTES || this.chunks.length > MAXIMUM_BUFFERED_PIECES;
+    if (isOversized) this.abandon();
+  }
+
+  /** Closes the connection of an answer that exceeds a limit; the request may have run. */
+  private abandon(): void {
+    this.forwarded?.abort();
+    const verdict = decisions.VerdictKind.MayHaveRun;
+    const detail = 'the answer exceeds the size limit';
+    this.completeWithFailure(decisions.createFailure('target-failed', { verdict, detail }));
+  }
+
   private onTimeout(): void {
     this.forwarded?.abort();
     const verdict = decisions.VerdictKind.MayHaveRun;
--- a/packages/daemon/src/entry/stream-joiner.ts
+++ b/packages/daemon/src/entry/stream-joiner.ts
@@ -8,6 +8,12 @@
  */
 
 const EVENT_END = Buffer.from('\n\n');
+const LINE_FEED = 0x0a;
+/** Limits of one incomplete event; a target that exceeds them sends bytes without end. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+const MAXIMUM_EVENT_PIECES = 65_536;
+/** Size limit of a whole answer, in bytes; it is kept until the answer is complete. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
 const STREAM_END = Buffer.from('data: [DONE]\n\n');
 const SUMMARY_EVENT = 'event: summary';
 
@@ -37,7 +43,9 @@
 
   private forwardedBytes = 0;
 
-  private partialEvent: Buffer | undefined;
+  private partialEvent: Buffer[] = [];
+
+  private partialBytes = 0;
 
   private isResumed = false;
 
@@ -50,30 +58,46 @@
     return this.forwardedBytes;
   }
 
-  /** Accepts received bytes; returns the complete events, if any. */
+  /** Whether the answer exceeds a limit, so that it has to be abandoned. */
+  get isOversized(): boolean {
+    if (this.forwardedBytes > MAXIMUM_ANSWER_BYTES) return true;
+    return (
+      this.partialBytes > MAXIMUM_EVENT_BYTES || this.partialEvent.length > MAXIMUM_EVENT_PIECES
+    );
+  }
+
+  /**
+   * Accepts received bytes; returns the complete events, if any. Only the new bytes are searched, so
+   * that an event in many pieces takes no more time than one in a single piece.
+   */
   push(chunk: Buffer): Buffer | undefined {
-    const bytes = this.partialEvent ? Buffer.concat([this.partialEvent, chunk]) : chunk;
-    const end = bytes.lastIndexOf(EVENT_END);
-    if (end === -1) {
-      this.partialEvent = bytes;
+    const endOffset = this.findLastEnd(chunk);
+    if (endOffset === 0) {
+      this.partialEvent.push(chunk);
+      this.partialBytes += chunk.length;
       return undefined;
     }
-    const endOffset = end + EVENT_END.length;
-    this.partialEvent = endOffset === bytes.length ? undefined : bytes.subarray(endOffset);
-    const wholeEvents = endOffset === bytes.length ? bytes : bytes.subarray(0, endOffset);
+    const lastBytes = endOffset === chunk.length ? chunk : chunk.subarray(0, endOffset);
+    const wholeEvents =
+      this.partialEvent.length === 0 ? lastBytes : Buffer.concat([...this.partialEvent, lastBytes]);
+    this.dropPartialEvent();
+    if (endOffset < chunk.length) {
+      this.partialEvent.push(chunk.subarray(endOffset));
+      this.partialBytes = chunk.length - endOffset;
+    }
     return this.forward(this.isResumed ? this.rewriteSummary(wholeEvents) : wholeEvents);
   }
 
   /** Whether the answer is complete. */
   isComplete(): boolean {
-    if (this.partialEvent || this.forwarded.length === 0) return false;
+    if (this.partialBytes > 0 || this.forwarded.length === 0) return false;
     const tail = Buffer.concat(this.forwarded.slice(-2));
     return tail.subarray(-STREAM_END.length).equals(STREAM_END);
   }
 
   /** Drops a partial event; returns where to resume, or undefined to start from the beginning. */
   prepareResume(): ResumePoint | undefined {
-    this.partialEvent = undefined;
+    this.dropPartialEvent();
     const events = this.parse();
     const lastEventId = events.findLast((event) => event.id !== undefined)?.id;
     if (lastEventId === undefined) return undefined;
@@ -106,6 +130,19 @@
       .join('');
   }
 
+  /** The position after the last terminator; it may have begun in the partial event. 0: none. */
+  private findLastEnd(chunk: Buffer): number {
+    const start = chunk.lastIndexOf(EVENT_END);
+    if (start >= 0) return start + EVENT_END.length;
+    const isSplit = this.partialEvent.at(-1)?.at(-1) === LINE_FEED && chunk[0] === LINE_FEED;
+    return isSplit ? 1 : 0;
+  }
+
+  private dropPartialEvent(): void {
+    this.partialEvent = [];
+    this.partialBytes = 0;
+  }
+
   private forward(bytes: Buffer): Buffer {
     this.forwarded.push(bytes);
     this.forwardedBytes += bytes.length;
