--- a/packages/standins/__tests__/unexpected-error.test.ts
+++ b/packages/standins/__tests__/unexpected-error.test.ts
@@ -5,6 +5,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as runtime from '@azureworks/runtime';
+import * as undici from 'undici';
 import * as children from '../src/experiments/child-process';
 
 const PACKAGES_FOLDER = path.resolve(__dirname, '..', '..');
@@ -54,7 +55,9 @@
       const entry = await startEntry();
       await runtime.pause(ERRORS_DELAY_MS + 1000);
       expect(entry.hasEnded).toBe(false);
-      expect((await fetch(`${entry.url}/healthz`)).status).toBe(200);
+      const health = await undici.request(`${entry.url}/healthz`);
+      expect(health.statusCode).toBe(200);
+      await health.body.dump();
       const errors = entry.lines.filter((line) => line.includes('uncaught error'));
       expect(errors.some((line) => line.includes('nobody expects this'))).toBe(true);
       expect(errors.some((line) => line.includes('nobody handles this'))).toBe(true);
