Name the connection of a failed call, run and error answer in the logs

Cause: the logs could not tell a late copy of an earlier answer from an answer of its own, since no line said which connection carried an exchange and what it had carried before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -33,6 +33,7 @@
   type CallOptions,
   type CallOutcome,
   CallStatus,
+  type ConnectionUse,
   OrderStatus,
   type Replica,
   type ReplicaAnswer,
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -205,6 +205,7 @@
       runEvents: itemProgress.runEvents,
       version: this.version,
       tookMs: Math.round(nowMs - itemProgress.runStartedMs),
+      ...outcome.connection,
     });
   }
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -38,6 +38,9 @@
 /** A resumable stream continues on another replica after this long without an event. */
 const STREAM_IDLE_TIMEOUT_MS = 1000;
 
+/** The first status that reports an error of the replica. */
+const FIRST_ERROR_STATUS = 500;
+
 /** Forwards plain and streaming requests. */
 export class Forwarder {
   private constructor(private readonly options: ForwarderOptions) {}
@@ -191,6 +194,14 @@
     if (outcome.status === replicas.CallStatus.Answered) {
       tracked.health.recordSuccess();
       tracked.health.recordDuration(tookMs);
+      if (outcome.answer.status < FIRST_ERROR_STATUS) return;
+      environment.log.info('call answered with an error', {
+        request: requestId,
+        replica: id,
+        status: outcome.answer.status,
+        tookMs: Math.round(tookMs),
+        ...outcome.connection,
+      });
       return;
     }
     if (outcome.status === replicas.CallStatus.Cancelled) {
@@ -213,6 +224,7 @@
       reason: outcome.reason,
       tookMs: Math.round(tookMs),
       isAvoided: isEjected,
+      ...outcome.connection,
     });
   }
 }
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -71,12 +71,21 @@
   readonly signature: string | undefined;
 }
 
+/** The connection that carried a call, for logs: it tells whether a response may be a late one. */
+export interface ConnectionUse {
+  /** Distinguishes the connections to a replica. */
+  readonly connection: number;
+  /** How many exchanges it carried before this one. */
+  readonly earlierExchanges: number;
+}
+
 /** The outcome of a call. */
 export type CallOutcome =
   | {
       readonly status: typeof CallStatus.Answered;
       readonly answer: ReplicaAnswer;
       readonly load: ReplicaLoad | undefined;
+      readonly connection?: ConnectionUse | undefined;
     }
   | {
       readonly status: Exclude<CallStatus, typeof CallStatus.Answered>;
@@ -84,6 +93,8 @@
       readonly load?: ReplicaLoad | undefined;
       /** Whether the replica was unresponsive: no connection, or no data for too long. */
       readonly isSilent?: boolean;
+      /** Undefined when the request was not sent. */
+      readonly connection?: ConnectionUse | undefined;
     };
 
 /** An event of a stream. */
