A connection to an engine or a plain service carries a single request

What callers saw: nothing yet; a caller of the product's own daemons could get the answer to another request.

Cause: the class of the late copy, found in review. A target daemon reuses its connections to its target, whose answers carry no id, so a second copy of one answer, late, passes for the answer to the next request. A copied report could also pass for the answer to an order of weights, which was then taken as loaded.

Change: requests to a target and the two calls of the weights task each have a connection of their own; it is a connection within one VM. Connections between daemons are reused as before.

The change of the weights task was made by reading, without a test of its own. What it costs an answer was not measured.

--- a/packages/daemon/__tests__/repeated-answers.test.ts
+++ b/packages/daemon/__tests__/repeated-answers.test.ts
@@ -30,7 +30,7 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as net.AddressInfo;
-    forwarder = forwarders.Forwarder.create(`http://127.0.0.1:${port}`);
+    forwarder = forwarders.Forwarder.createForTarget(`http://127.0.0.1:${port}`);
   });
 
   afterEach(async () => {
--- a/packages/daemon/src/core/forwarder.ts
+++ b/packages/daemon/src/core/forwarder.ts
@@ -1,5 +1,9 @@
 /**
  * Forwards requests to another process over a pool of HTTP connections.
+ *
+ * Answers of a target, an engine or a plain service, carry no id. A target in trouble may answer a
+ * second time, late, and on a connection in use again that copy would pass for the answer to the next
+ * request, so a connection to a target carries a single request.
  */
 import type * as tls from 'node:tls';
 import type * as links from '@azureworks/links';
@@ -11,20 +15,23 @@
 
 /** The connection pool of one other process. */
 export class Forwarder {
-  private constructor(private readonly pool: undici.Pool) {}
+  private constructor(
+    private readonly pool: undici.Pool,
+    private readonly reusesConnections: boolean,
+  ) {}
 
   /**
+   * Creates a forwarder to another process of this product.
    * @param url base URL of the other process, `http://IP:PORT` or `https://IP:PORT`
    * @param keys TLS keys for `https`, presented to the other process
    */
   static create(url: string, keys?: links.TlsKeys): Forwarder {
-    const pool = new undici.Pool(url, {
-      connections: MAXIMUM_CONNECTIONS,
-      connect: { timeout: CONNECT_TIMEOUT_MS, ...(keys && createTlsOptions(keys)) },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    return new Forwarder(pool);
+    return new Forwarder(createPool(url, keys), true);
+  }
+
+  /** Creates a forwarder to a target, with a connection for each request. */
+  static createForTarget(url: string): Forwarder {
+    return new Forwarder(createPool(url, undefined), false);
   }
 
   /** Sends a request and reports the progress of its response to `handler`. */
@@ -39,6 +46,7 @@
         path: request.path,
         headers: request.headers,
         body: request.body ?? null,
+        reset: !this.reusesConnections,
       },
       forwarded,
     );
@@ -51,6 +59,15 @@
   }
 }
 
+function createPool(url: string, keys: links.TlsKeys | undefined): undici.Pool {
+  return new undici.Pool(url, {
+    connections: MAXIMUM_CONNECTIONS,
+    connect: { timeout: CONNECT_TIMEOUT_MS, ...(keys && createTlsOptions(keys)) },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
 /**
  * Creates the TLS options of a client connection. Certificates are issued by the deployment's
  * authority and not for an address, so only the authority is checked, and the host name is not.
--- a/packages/daemon/src/target/weights-task.ts
+++ b/packages/daemon/src/target/weights-task.ts
@@ -134,12 +134,15 @@
     return isLoaded;
   }
 
+  // Neither answer carries an id, so each has a connection of its own: a late copy of one would pass
+  // for the other.
   private async sendOrder(model: string, version: number, fence: number): Promise<string> {
     try {
       const response = await undici.request(`${this.options.target.url}/v1/weights`, {
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ model, version, fence }),
+        reset: true,
         signal: AbortSignal.timeout(WEIGHT_LOAD_TIMEOUT_MS),
       });
       await response.body.dump();
@@ -198,6 +201,7 @@
   private async fetchReport(): Promise<Record<string, number | null> | undefined> {
     try {
       const response = await undici.request(`${this.options.target.url}/v1/load`, {
+        reset: true,
         signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
       });
       const report = (await response.body.json()) as {
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -55,7 +55,7 @@
 
   private constructor(private readonly options: WorkTaskOptions) {
     this.ledger = ledgers.Ledger.create(options.clock);
-    this.forwarder = forwarders.Forwarder.create(options.targetUrl);
+    this.forwarder = forwarders.Forwarder.createForTarget(options.targetUrl);
     this.addPeerRoute('all', `${DISPATCH_PREFIX}/*`, (request, response) =>
       this.serve(request, response),
     );
