Tell in the logs why an item was given up

Cause: the line 'item done' names the state of an item only, so a log does not show whether an item that is listed as terminated could be given up.

Change: the line also has the cause (expired, impossible, failed answers, scoring failed), the age of the job as this gateway reckons it, the lifetime, the failures and the allowed attempts. No decision changes.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -157,7 +157,10 @@
     const nowMs = this.options.environment.nowMs();
     const expiresMs = job.head.submittedMs + route.itemLifetimeMs;
     if (this.options.storeNowMs() >= expiresMs) {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
+      job.finishItem(itemProgress, jobs.ResultState.Terminated, {
+        cause: 'expired',
+        lifetimeMs: route.itemLifetimeMs,
+      });
       return;
     }
     const tracked = this.chooseReplica(job, itemProgress, route, nowMs);
@@ -245,7 +248,7 @@
       return;
     }
     if (end.kind === 'impossible') {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
+      job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'impossible' });
       return;
     }
     if (end.kind === 'refused') {
@@ -255,9 +258,12 @@
     }
     if (end.kind !== 'failed-answer') return;
     itemProgress.failedAnswers += 1;
-    if (itemProgress.failedAnswers >= Math.max(1, route.maximumAttempts)) {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
-    }
+    const mostAttempts = Math.max(1, route.maximumAttempts);
+    if (itemProgress.failedAnswers < mostAttempts) return;
+    job.finishItem(itemProgress, jobs.ResultState.Terminated, {
+      cause: 'failed answers',
+      mostAttempts,
+    });
   }
 
   private async scoreItem(
@@ -269,8 +275,14 @@
     const maximumAttempts = this.findRoute(job)?.maximumAttempts ?? 1;
     const end = await scoring.scoreItem(this.options, job, itemProgress, maximumAttempts);
     if (!job.isOpen) return;
-    if (end === 'scored') job.finishItem(itemProgress, jobs.ResultState.Completed);
-    if (end === 'failed') job.finishItem(itemProgress, jobs.ResultState.Terminated);
+    if (end.kind === 'scored')
+      job.finishItem(itemProgress, jobs.ResultState.Completed, { cause: 'scored' });
+    if (end.kind !== 'failed') return;
+    job.finishItem(itemProgress, jobs.ResultState.Terminated, {
+      cause: 'scoring failed',
+      scoringFailures: end.failedAnswers,
+      mostAttempts: end.mostAttempts,
+    });
   }
 
   /** Moves items away from replicas that are much slower than others, and starts waiting items. */
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -33,6 +33,14 @@
   readonly onClosed: (job: OwnedJob, closeReason: JobCloseReason) => void;
 }
 
+/** Why an item is done, with the limits that applied. */
+export interface FinishCause {
+  readonly cause: 'scored' | 'expired' | 'impossible' | 'failed answers' | 'scoring failed';
+  readonly lifetimeMs?: number;
+  readonly scoringFailures?: number;
+  readonly mostAttempts?: number;
+}
+
 /** The job as it was accepted or loaded. */
 export interface OwnedJobContent {
   readonly id: string;
@@ -145,8 +153,15 @@
     return [...groups].map(([name, group]) => ({ name, ...group }));
   }
 
-  /** Marks an item as done and has its result appended to the list. */
-  finishItem(itemProgress: progress.ItemProgress, state: jobs.ResultState): void {
+  /**
+   * Marks an item as done and has its result appended to the list.
+   * @param cause why it is done, for the log
+   */
+  finishItem(
+    itemProgress: progress.ItemProgress,
+    state: jobs.ResultState,
+    cause: FinishCause,
+  ): void {
     if (!this.isOpen || itemProgress.phase === progress.ItemPhase.Done) return;
     itemProgress.phase = progress.ItemPhase.Done;
     this.pendingResults.push(itemProgress.toResult(state));
@@ -157,6 +172,8 @@
       events: itemProgress.events.length,
       versions: [...itemProgress.versions].join(','),
       failedAnswers: itemProgress.failedAnswers,
+      ageMs: Math.round(this.options.store.nowMs - this.head.submittedMs),
+      ...cause,
     });
     if (!this.isAppending) this.appendPendingResults();
   }
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -12,7 +12,11 @@
 }
 
 /** How scoring ended; `abandoned` when the job was closed first. */
-export type ScoringEnd = 'scored' | 'failed' | 'abandoned';
+export interface ScoringEnd {
+  readonly kind: 'scored' | 'failed' | 'abandoned';
+  readonly failedAnswers: number;
+  readonly mostAttempts: number;
+}
 
 /** Timeout of one scoring call; a call usually takes tens of milliseconds. */
 const SCORING_TIMEOUT_MS = 1500;
@@ -33,9 +37,15 @@
   minimumAttempts: number,
 ): Promise<ScoringEnd> {
   const { scoring } = itemProgress.item;
-  if (!scoring || itemProgress.score !== undefined) return 'scored';
-  const path = scoring.path.split('?')[0] ?? scoring.path;
   let failedAnswers = 0;
+  let mostAttempts = minimumAttempts;
+  const createEnd = (kind: ScoringEnd['kind']): ScoringEnd => ({
+    kind,
+    failedAnswers,
+    mostAttempts,
+  });
+  if (!scoring || itemProgress.score !== undefined) return createEnd('scored');
+  const path = scoring.path.split('?')[0] ?? scoring.path;
   while (job.isOpen) {
     const end = await options.forwarder.send({
       request: {
@@ -55,10 +65,10 @@
       answer && answer.status >= FIRST_SUCCESS_STATUS && answer.status < FIRST_REDIRECT_STATUS;
     if (isOk && answer.signature !== undefined) {
       itemProgress.score = answer.signature;
-      return 'scored';
+      return createEnd('scored');
     }
     failedAnswers += end.failedAnswers;
-    const maximumAttempts = Math.max(
+    mostAttempts = Math.max(
       options.forwarder.getMaximumAttempts(scoring.host, path),
       minimumAttempts,
     );
@@ -68,10 +78,10 @@
       request: scoring.id,
       attempts: end.attempts,
       failedAnswers,
-      mostAttempts: maximumAttempts,
+      mostAttempts,
     });
-    if (failedAnswers >= maximumAttempts) return 'failed';
+    if (failedAnswers >= mostAttempts) return createEnd('failed');
     await options.environment.pause(RETRY_BACKOFF_MS);
   }
-  return 'abandoned';
+  return createEnd('abandoned');
 }
