Failing tests: items are given up before their time

Cause: a gateway that the store turns away from its start takes its own uptime for the store's time, since only the direct connection has a clock; a response that arrives late puts the clock back. Either stores a submission time in the past, and the gateway that runs the job gives its items up at once. Before the first response the clock may also be ahead. A newer configuration with a shorter lifetime or fewer attempts applies to jobs that were accepted before it.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -1,6 +1,7 @@
 import type * as gateway from '@azureworks/gateway';
 import * as fakeReplicas from './support/fake-replicas';
 import * as systems from './support/test-system';
+import * as gatewayChoices from '../src/jobs/gateway-choice';
 import * as time from './support/virtual-time';
 
 const NEVER_ABORTED = new AbortController().signal;
@@ -22,6 +23,15 @@
   });
 }
 
+/** A job of two items that the gateway on `vm` runs, if it is one of three. */
+function createJobFor(vm: string, oldestVersion: number): gateway.BatchJob {
+  const vms = ['vm-1', 'vm-2', 'vm-3'];
+  const candidates = vms.map((candidate) => ({ vm: candidate, capacity: 1 }));
+  const models = Array.from({ length: 100 }, (_unused, index) => `model-${index}`);
+  const model = models.find((name) => gatewayChoices.chooseGateway(name, candidates)?.vm === vm);
+  return { ...systems.createJob('job', 1, 2, oldestVersion), model: model ?? '' };
+}
+
 describe('batch jobs', () => {
   let system: systems.TestSystem;
 
@@ -413,6 +423,79 @@
     expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
   });
 
+  it('gives no item up early that a gateway submitted which never reached the store directly', async () => {
+    const connectivity = { isDirectCut: true, seeds: ['vm-2:1'] };
+    const others = [await system.start('vm-2'), await system.start('vm-3')];
+    const submitting = await system.start('vm-1', 'vm-1-first', connectivity);
+    await time.advance(3000);
+    const job = createJobFor('vm-2', 9);
+    expect((await time.settle(submitting.jobs.submit(job))).isOk).toBe(true);
+    await time.advance(3000);
+    expect(await time.settle(readAll(others[0], 'job'))).toEqual([]);
+    expect(others[0].jobs.openCount).toBe(1);
+  });
+
+  it('gives no item up early that a gateway submitted whose clock is behind', async () => {
+    const connectivity = { isDirectCut: false, clockBehindMs: 60_000 };
+    const others = [await system.start('vm-2'), await system.start('vm-3')];
+    const submitting = await system.start('vm-1', 'vm-1-first', connectivity);
+    await time.advance(3000);
+    const job = createJobFor('vm-2', 9);
+    expect((await time.settle(submitting.jobs.submit(job))).isOk).toBe(true);
+    await time.advance(39_000);
+    expect(await time.settle(readAll(others[0], 'job'))).toEqual([]);
+    expect(others[0].jobs.openCount).toBe(1);
+    await time.advance(3000);
+    const results = await time.settle(readAll(others[0], 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
+  });
+
+  it('gives no item up early when a gateway takes the job over whose submitter was behind', async () => {
+    const submitter = { isDirectCut: false, clockBehindMs: 60_000 };
+    const owner = { isDirectCut: false, isDead: false, isIsolated: false };
+    const other = await system.start('vm-3');
+    await system.start('vm-2', 'vm-2-first', owner);
+    const submitting = await system.start('vm-1', 'vm-1-first', submitter);
+    await time.advance(3000);
+    const job = createJobFor('vm-2', 9);
+    expect((await time.settle(submitting.jobs.submit(job))).isOk).toBe(true);
+    owner.isDead = true;
+    submitter.clockBehindMs = 0;
+    await time.advance(25_000);
+    expect(await time.settle(readAll(other, 'job'))).toEqual([]);
+    expect([other, submitting].map((one) => one.jobs.openCount).sort()).toEqual([0, 1]);
+  });
+
+  it('allows the lifetime of an earlier configuration when a newer one shortens it', async () => {
+    system.configure(systems.createConfiguration(2, { itemLifetimeMs: 20_000 }));
+    const first = await system.start('vm-1');
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2, 9)));
+    await time.advance(3000);
+    system.configure(systems.createConfiguration(3, { itemLifetimeMs: 2000 }));
+    await time.advance(10_000);
+    expect(await time.settle(readAll(first, 'job'))).toEqual([]);
+    await time.advance(10_000);
+    const results = await time.settle(readAll(first, 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated', 'terminated']);
+  });
+
+  it('allows the attempts of an earlier configuration when a newer one has fewer', async () => {
+    system.configure(systems.createConfiguration(2, { maximumAttempts: 4 }));
+    ['e1', 'e2', 'e3'].forEach((id) => {
+      system.replicas.getBehaviour(id).failedStreams = 3;
+    });
+    system.replicas.getBehaviour('e1').streamFailureMs = 300;
+    const first = await system.start('vm-1');
+    const job = systems.createJob('job', 1, 1);
+    await time.settle(first.jobs.submit(job));
+    await time.advance(50);
+    system.configure(systems.createConfiguration(3, { maximumAttempts: 1 }));
+    await time.advance(3000);
+    const results = await time.settle(readAll(first, 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated']);
+    expect(system.replicas.runs).toHaveLength(4);
+  });
+
   it('gives up scoring only after as many failures as the route allows attempts', async () => {
     system.configure(systems.createConfiguration(2, { maximumAttempts: 4 }));
     ['p1', 'p2'].forEach((id) => {
--- a/packages/gateway/__tests__/store-access.test.ts
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -108,6 +108,28 @@
     expect(later).toMatchObject({ status: StoreStatus.Done, rows: [] });
   });
 
+  it('has its clock read from the responses that a peer relays', async () => {
+    const clocks = { direct: 1000, viaPeer: 70_000 };
+    const connect = (name: keyof typeof clocks): gateway.ConnectedStore => {
+      const store = createStore();
+      store.faults.isRefusing = name === 'direct';
+      const connected = Object.assign(Object.create(store) as standins.MemoryStore, {
+        close: () => {},
+      });
+      return Object.defineProperty(connected, 'nowMs', { get: () => clocks[name] });
+    };
+    const routed = routedStores.RoutedStore.create({
+      direct: connect('direct'),
+      relays: { listRelays: () => ['peer'] },
+      connect: () => connect('viaPeer'),
+      log: runtime.SilentLog.create(),
+      metrics: runtime.Metrics.create(),
+      nowMs: time.nowMs,
+    });
+    await routed.read({ table: 't', partition: 'p' });
+    expect(routed.nowMs).toBe(70_000);
+  });
+
   it('is not stable for a while after calls failed directly and through the peer', async () => {
     const { routed, direct, viaPeer } = create();
     [direct, viaPeer].forEach((store) => {
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -19,6 +19,10 @@
   ignoresResume: boolean;
   /** Whether it is unresponsive. */
   isSilent: boolean;
+  /** How many of the next streams are answered with an internal error. */
+  failedStreams: number;
+  /** Time until such an answer. */
+  streamFailureMs: number;
   /** Status of plain answers. */
   status: number;
   /** Time until a plain answer. */
@@ -67,6 +71,8 @@
         breakAfterEvents: undefined,
         ignoresResume: false,
         isSilent: false,
+        failedStreams: 0,
+        streamFailureMs: 100,
         status: 200,
         answerMs: 10,
       };
@@ -119,6 +125,13 @@
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
       return { status: CallStatus.Broken, reason: 'silent for too long', isSilent: true };
     }
+    if (behaviour.failedStreams > 0) {
+      behaviour.failedStreams -= 1;
+      const isAborted = await pauseUnlessAborted(behaviour.streamFailureMs, options.signal);
+      if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
+      const answer = { status: 500, headers: [], body: Buffer.alloc(0), signature: 'stamp' };
+      return { status: CallStatus.Answered, answer, load: undefined };
+    }
     const weightVersion = this.versions.get(replica.id) ?? 1;
     receiver.begin({
       status: 200,
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -130,6 +130,10 @@
   isIsolated?: boolean;
   /** The process has died: nothing that it still does reaches the store or a replica. */
   isDead?: boolean;
+  /** How far its view of the store's clock is behind, because responses arrived late. */
+  clockBehindMs?: number;
+  /** Addresses at which it finds its peers before it has read the store. */
+  readonly seeds?: readonly string[];
 }
 
 /** The store, the replicas and the gateways of a test. */
@@ -179,9 +183,9 @@
     const started = gateway.Gateway.create({
       environment: time.createEnvironment(vm, incarnation),
       failureDomains: ['domain-a'],
-      seeds: [],
-      directStore: this.connect(() => connectivity.isDirectCut || isUnreachable()),
-      connectRelay: () => this.connect(isUnreachable),
+      seeds: connectivity.seeds ?? [],
+      directStore: this.connect(() => connectivity.isDirectCut || isUnreachable(), connectivity),
+      connectRelay: () => this.connect(isUnreachable, connectivity),
       replicaClient: this.callFrom(connectivity),
       peers: {
         waitForResult: (address, id, position, waitMs, signal) =>
@@ -230,21 +234,32 @@
     };
   }
 
-  private connect(isDirectCut: () => boolean): gateway.ConnectedStore {
+  private connect(isDirectCut: () => boolean, connectivity: Connectivity): gateway.ConnectedStore {
     const { store } = this;
+    const startMs = time.nowMs();
+    let hasResponse = false;
+    const call = async <Outcome>(act: () => Promise<Outcome>): Promise<Outcome> => {
+      const outcome = await act();
+      hasResponse = true;
+      return outcome;
+    };
     const failCall = async (): Promise<gateway.StoreFailure> => {
       await time.pause(100);
       return { status: gateway.StoreStatus.NotDone, reason: 'cut off' };
     };
     return {
       get nowMs() {
-        return store.nowMs;
+        // Before the first response there is only the process's own clock.
+        if (!hasResponse) return store.nowMs - startMs;
+        return store.nowMs - (connectivity.clockBehindMs ?? 0);
       },
-      transact: (transaction) => (isDirectCut() ? failCall() : store.transact(transaction)),
-      read: (range) => (isDirectCut() ? failCall() : store.read(range)),
-      listPartitions: (table) => (isDirectCut() ? failCall() : store.listPartitions(table)),
+      transact: (transaction) =>
+        isDirectCut() ? failCall() : call(() => store.transact(transaction)),
+      read: (range) => (isDirectCut() ? failCall() : call(() => store.read(range))),
+      listPartitions: (table) =>
+        isDirectCut() ? failCall() : call(() => store.listPartitions(table)),
       waitForChanges: (table, after, waitMs) =>
-        isDirectCut() ? failCall() : store.waitForChanges(table, after, waitMs),
+        isDirectCut() ? failCall() : call(() => store.waitForChanges(table, after, waitMs)),
       close: () => {},
     };
   }
