The age of a job is counted from a response that follows its submission

Cause: the submitting gateway wrote the submission time before the store had responded, from a clock that was its own uptime when only relays had been reached, and behind after a late response or a pause of the VM. The gateway that runs the job compared it with the right time and gave its items up early.

The store's time is the latest of the direct connection and the relays. A head row says whether its time is certain; a gateway that creates or reads one without it counts from then on, and the next change of the row stores that. Without a stored result a takeover begins the lifetime anew, which is safe.

--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -236,7 +236,6 @@
 
   private connect(isDirectCut: () => boolean, connectivity: Connectivity): gateway.ConnectedStore {
     const { store } = this;
-    const startMs = time.nowMs();
     let hasResponse = false;
     const call = async <Outcome>(act: () => Promise<Outcome>): Promise<Outcome> => {
       const outcome = await act();
@@ -249,8 +248,7 @@
     };
     return {
       get nowMs() {
-        // Before the first response there is only the process's own clock.
-        if (!hasResponse) return store.nowMs - startMs;
+        if (!hasResponse) return -Infinity;
         return store.nowMs - (connectivity.clockBehindMs ?? 0);
       },
       transact: (transaction) =>
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -50,8 +50,13 @@
   readonly total: number;
   /** Number of results in the job's list. */
   readonly listed: number;
-  /** When the job was accepted, on the store's clock. */
+  /** When the job was submitted, on the store's clock; the age of the job is counted from it. */
   readonly submittedMs: number;
+  /**
+   * Whether `submittedMs` is certainly no earlier than the submission. The submitting gateway writes
+   * it before the store has responded, when its view of the clock may be behind.
+   */
+  readonly isSubmittedMsCertain?: boolean;
   readonly host: string;
   readonly path: string;
   readonly step: number;
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -95,7 +95,8 @@
       { conditions, writes: [headWrite, ...lastBatch], removals: [] },
       headWrite,
     );
-    return { outcome, head };
+    const isDone = outcome.status === stores.StoreStatus.Done;
+    return { outcome, head: isDone ? this.withCertainAge(head) : head };
   }
 
   /** Reads the head of a job; undefined when there is no such job. */
@@ -109,7 +110,7 @@
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
     const row = outcome.rows.find((candidate) => candidate.key === records.HEAD_KEY);
     const head = row && records.decodeHead(row);
-    return head ? { head, revision: row.revision } : undefined;
+    return head ? { head: this.withCertainAge(head), revision: row.revision } : undefined;
   }
 
   /** Reads the items of a job. */
@@ -243,6 +244,16 @@
     }
   }
 
+  /**
+   * Counts the age of a job from the response that has just shown it, unless an owner did so before;
+   * the next change of the job stores that time. An age that is too low is safe: no item is given up
+   * and no row is discarded early.
+   */
+  private withCertainAge(head: records.JobHead): records.JobHead {
+    if (head.isSubmittedMsCertain) return head;
+    return { ...head, submittedMs: this.store.nowMs, isSubmittedMsCertain: true };
+  }
+
   private async change(
     id: string,
     state: HeadState,
--- a/packages/gateway/src/store/routed-store.ts
+++ b/packages/gateway/src/store/routed-store.ts
@@ -58,7 +58,9 @@
   }
 
   get nowMs(): number {
-    return this.options.direct.nowMs;
+    // Each connection knows a time that the store has reached, so the latest is the most accurate.
+    const relays = [...this.relays.values()].map((relay) => relay.store.nowMs);
+    return Math.max(this.options.direct.nowMs, ...relays);
   }
 
   /** Whether no call has failed recently; one that succeeded through a relay has not failed. */
--- a/packages/gateway/src/types/store.ts
+++ b/packages/gateway/src/types/store.ts
@@ -108,6 +108,10 @@
   listPartitions(table: string): Promise<PartitionsOutcome>;
   /** Waits up to `waitMs` for changes of a table after a revision. */
   waitForChanges(table: string, afterRevision: number, waitMs: number): Promise<ChangesOutcome>;
-  /** The store's monotonic clock in milliseconds, as derived from its answers. */
+  /**
+   * A time in milliseconds that the store's monotonic clock has reached: it may be behind, but not
+   * ahead. Right after a response it is no earlier than the time at which the call was sent;
+   * -Infinity before the first response.
+   */
   readonly nowMs: number;
 }
