A newer configuration gives no item up earlier than an older one allowed

Cause: lifetime and attempts were those of the newest route, also for jobs that were accepted under one that allows more; without a route for a moment, scoring was allowed one attempt.

Change: a job keeps the largest limits of the routes that it has had at its gateway. They are not stored, so after a takeover only the configurations since then count.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -103,6 +103,7 @@
   private describeJob(job: ownedJobs.OwnedJob): itemOrder.WaitingJob | undefined {
     const waitingItems = job.listItems(progress.ItemPhase.Waiting);
     const route = this.findRoute(job);
+    if (route) job.recordRoute(route);
     if (!route || waitingItems.length === 0) return undefined;
     const estimateRemainingMs = this.createEstimator(route);
     const groups = job.listGroups(this.carriedOverItems, estimateRemainingMs);
@@ -155,12 +156,9 @@
     const route = this.findRoute(job);
     if (!route) return;
     const nowMs = this.options.environment.nowMs();
-    const expiresMs = job.head.submittedMs + route.itemLifetimeMs;
-    if (this.options.storeNowMs() >= expiresMs) {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated, {
-        cause: 'expired',
-        lifetimeMs: route.itemLifetimeMs,
-      });
+    const lifetimeMs = job.giveUpLimits.itemLifetimeMs;
+    if (this.options.storeNowMs() >= job.head.submittedMs + lifetimeMs) {
+      job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
     const tracked = this.chooseReplica(job, itemProgress, route, nowMs);
@@ -225,20 +223,19 @@
         jobId: job.id,
         deadlineMs: Math.max(
           1,
-          job.head.submittedMs + route.itemLifetimeMs - this.options.storeNowMs(),
+          job.head.submittedMs + job.giveUpLimits.itemLifetimeMs - this.options.storeNowMs(),
         ),
       },
     });
     const end = await run.run();
     environment.metrics.count('runs', { service: tracked.replica.service, end: end.kind });
-    if (job.isOpen) this.onRunEnded(job, itemProgress, route, tracked, end);
+    if (job.isOpen) this.onRunEnded(job, itemProgress, tracked, end);
     this.scheduleDispatch();
   }
 
   private onRunEnded(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
-    route: configurations.Route,
     tracked: directories.TrackedReplica,
     end: streamRuns.StreamRunEnd,
   ): void {
@@ -258,7 +255,7 @@
     }
     if (end.kind !== 'failed-answer') return;
     itemProgress.failedAnswers += 1;
-    const mostAttempts = Math.max(1, route.maximumAttempts);
+    const mostAttempts = job.giveUpLimits.maximumAttempts;
     if (itemProgress.failedAnswers < mostAttempts) return;
     job.finishItem(itemProgress, jobs.ResultState.Terminated, {
       cause: 'failed answers',
@@ -272,8 +269,7 @@
   ): Promise<void> {
     itemProgress.phase = progress.ItemPhase.Scoring;
     itemProgress.isTextComplete = true;
-    const maximumAttempts = this.findRoute(job)?.maximumAttempts ?? 1;
-    const end = await scoring.scoreItem(this.options, job, itemProgress, maximumAttempts);
+    const end = await scoring.scoreItem(this.options, job, itemProgress);
     if (!job.isOpen) return;
     if (end.kind === 'scored')
       job.finishItem(itemProgress, jobs.ResultState.Completed, { cause: 'scored' });
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -8,6 +8,7 @@
 import type * as environments from '../types/environment';
 import * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
+import type * as configurations from '../types/configuration';
 import type * as itemOrder from './item-order';
 import * as progress from './item-progress';
 import type * as records from './job-record';
@@ -49,6 +50,9 @@
   readonly results: readonly jobs.ItemResult[];
 }
 
+/** Limits after which an item may be given up. */
+export type GiveUpLimits = Pick<configurations.Route, 'itemLifetimeMs' | 'maximumAttempts'>;
+
 /** How often incomplete texts are saved, and how many new events a text needs to be saved. */
 const CHECKPOINT_INTERVAL_MS = 1000;
 const MINIMUM_CHECKPOINT_EVENTS = 12;
@@ -65,6 +69,8 @@
 
   closeReason: JobCloseReason | undefined;
 
+  private limits: GiveUpLimits = { itemLifetimeMs: 0, maximumAttempts: 1 };
+
   private state: jobStores.HeadState;
 
   private pendingResults: jobs.ItemResult[] = [];
@@ -102,6 +108,19 @@
     return this.state.head;
   }
 
+  /** The largest limits of all routes that the job has had here. */
+  get giveUpLimits(): GiveUpLimits {
+    return this.limits;
+  }
+
+  /** Records the route of the job, which a new configuration may change. */
+  recordRoute(route: configurations.Route): void {
+    this.limits = {
+      itemLifetimeMs: Math.max(this.limits.itemLifetimeMs, route.itemLifetimeMs),
+      maximumAttempts: Math.max(this.limits.maximumAttempts, route.maximumAttempts),
+    };
+  }
+
   get isOpen(): boolean {
     return this.closeReason === undefined;
   }
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -26,19 +26,17 @@
 const FIRST_REDIRECT_STATUS = 300;
 
 /**
- * Repeats the scoring call until it returns a score, as many answers were failures as the route of
- * the call allows attempts, or the job is closed.
- * @param minimumAttempts the attempts that the item's own route allows, which are allowed at least
+ * Repeats the scoring call until it returns a score, as many answers were failures as the routes of
+ * the call and of the job allow attempts, or the job is closed.
  */
 export async function scoreItem(
   options: ScoringOptions,
   job: ownedJobs.OwnedJob,
   itemProgress: progress.ItemProgress,
-  minimumAttempts: number,
 ): Promise<ScoringEnd> {
   const { scoring } = itemProgress.item;
   let failedAnswers = 0;
-  let mostAttempts = minimumAttempts;
+  let mostAttempts = job.giveUpLimits.maximumAttempts;
   const createEnd = (kind: ScoringEnd['kind']): ScoringEnd => ({
     kind,
     failedAnswers,
@@ -70,7 +68,7 @@
     failedAnswers += end.failedAnswers;
     mostAttempts = Math.max(
       options.forwarder.getMaximumAttempts(scoring.host, path),
-      minimumAttempts,
+      job.giveUpLimits.maximumAttempts,
     );
     options.environment.log.info('scoring failed', {
       job: job.id,
