--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -466,6 +466,57 @@
     expect([other, submitting].map((one) => one.jobs.openCount).sort()).toEqual([0, 1]);
   });
 
+  it('gives no item up early when a gateway first reaches the store through peers, then directly', async () => {
+    const connectivity = { isDirectCut: true, seeds: ['vm-9:1'] };
+    const first = await system.start('vm-1', 'vm-1-first', connectivity);
+    await time.advance(3000);
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2, 9)));
+    await time.advance(1000);
+    connectivity.isDirectCut = false;
+    await time.advance(10_000);
+    expect(await time.settle(readAll(first, 'job'))).toEqual([]);
+    expect(first.jobs.openCount).toBe(1);
+  });
+
+  it('keeps the items of a job while its route is missing', async () => {
+    system.configure(systems.createConfiguration(2, { itemLifetimeMs: 2000 }));
+    const first = await system.start('vm-1');
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2, 9)));
+    await time.advance(500);
+    system.configure(systems.createConfiguration(3, { hasNoRollout: true }));
+    await time.advance(6000);
+    expect(await time.settle(readAll(first, 'job'))).toEqual([]);
+    system.configure(systems.createConfiguration(4));
+    await time.advance(6000);
+    expect(await time.settle(readAll(first, 'job'))).toEqual([]);
+  });
+
+  it('counts only the failed answers of its own runs', async () => {
+    const countRuns = (): number => system.replicas.runs.length;
+    ['e1', 'e2', 'e3'].forEach((id) => {
+      system.replicas.getBehaviour(id).failedStreams = 100;
+      system.replicas.getBehaviour(id).streamFailureMs = 200;
+    });
+    const owner = { isDirectCut: false, isDead: false };
+    const first = await system.start('vm-1', 'vm-1-first', owner);
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 1)));
+    await time.advance(300);
+    expect(countRuns()).toBe(2);
+    owner.isDead = true;
+    const runsBefore = countRuns();
+    const second = await system.start('vm-1', 'vm-1-second');
+    await time.advance(3000);
+    const results = await time.settle(readAll(second, 'job'));
+    expect(results.map((result) => result.state)).toEqual(['terminated']);
+    expect(countRuns() - runsBefore).toBe(3);
+
+    // The same item in a later job is not charged with the failures in the earlier one.
+    const runsOfFirstJob = countRuns();
+    await time.settle(second.jobs.submit({ ...systems.createJob('job', 1, 1), id: 'later' }));
+    await time.advance(4000);
+    expect(countRuns() - runsOfFirstJob).toBe(3);
+  });
+
   it('allows the lifetime of an earlier configuration when a newer one shortens it', async () => {
     system.configure(systems.createConfiguration(2, { itemLifetimeMs: 20_000 }));
     const first = await system.start('vm-1');
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -16,6 +16,8 @@
   readonly maximumAttempts?: number;
   readonly isSingleVersion?: boolean;
   readonly itemLifetimeMs?: number;
+  /** Whether there is no rollout route. */
+  readonly hasNoRollout?: boolean;
 }
 
 /** A configuration with a rollout route and a plain one. */
@@ -51,7 +53,7 @@
         kind: gateway.RouteKind.Idempotent,
         services: [{ service: PLAIN_SERVICE, weight: 1 }],
       },
-    ],
+    ].filter((route) => !options.hasNoRollout || route.kind !== gateway.RouteKind.Rollout),
     services: new Map([
       [
         ENGINE_SERVICE,
