The store's time is read once for each start of waiting items

Cause: it is the latest of all connections to the store, so reading it for each waiting item costs more with each relay.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -91,12 +91,13 @@
 
   private dispatchWaitingItems(): void {
     const nowMs = this.options.environment.nowMs();
+    const storeNowMs = this.options.storeNowMs();
     const waitingJobs = [...this.jobs.values()].flatMap((job) => this.describeJob(job) ?? []);
     itemOrder.orderItems(waitingJobs, nowMs).forEach((ordered) => {
       const job = this.jobs.get(ordered.jobId);
       const itemProgress = job?.items.get(ordered.itemId);
       if (!job?.isOpen || itemProgress?.phase !== progress.ItemPhase.Waiting) return;
-      this.dispatchItem(job, itemProgress);
+      this.dispatchItem(job, itemProgress, storeNowMs);
     });
   }
 
@@ -152,12 +153,16 @@
     return this.options.configuration.routeTable?.find(job.head.host, job.head.path);
   }
 
-  private dispatchItem(job: ownedJobs.OwnedJob, itemProgress: progress.ItemProgress): void {
+  private dispatchItem(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    storeNowMs: number,
+  ): void {
     const route = this.findRoute(job);
     if (!route) return;
     const nowMs = this.options.environment.nowMs();
     const lifetimeMs = job.giveUpLimits.itemLifetimeMs;
-    if (this.options.storeNowMs() >= job.head.submittedMs + lifetimeMs) {
+    if (storeNowMs >= job.head.submittedMs + lifetimeMs) {
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
