--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -16,6 +16,8 @@
   readonly maximumAttempts?: number;
   readonly isSingleVersion?: boolean;
   readonly itemLifetimeMs?: number;
+  /** Whether there is no rollout route. */
+  readonly hasNoRollout?: boolean;
 }
 
 /** A configuration with a rollout route and a plain one. */
@@ -51,7 +53,7 @@
         kind: gateway.RouteKind.Idempotent,
         services: [{ service: PLAIN_SERVICE, weight: 1 }],
       },
-    ],
+    ].filter((route) => !options.hasNoRollout || route.kind !== gateway.RouteKind.Rollout),
     services: new Map([
       [
         ENGINE_SERVICE,
@@ -130,6 +132,10 @@
   isIsolated?: boolean;
   /** The process has died: nothing that it still does reaches the store or a replica. */
   isDead?: boolean;
+  /** How far its view of the store's clock is behind, because responses arrived late. */
+  clockBehindMs?: number;
+  /** Addresses at which it finds its peers before it has read the store. */
+  readonly seeds?: readonly string[];
 }
 
 /** The store, the replicas and the gateways of a test. */
@@ -179,9 +185,9 @@
     const started = gateway.Gateway.create({
       environment: time.createEnvironment(vm, incarnation),
       failureDomains: ['domain-a'],
-      seeds: [],
-      directStore: this.connect(() => connectivity.isDirectCut || isUnreachable()),
-      connectRelay: () => this.connect(isUnreachable),
+      seeds: connectivity.seeds ?? [],
+      directStore: this.connect(() => connectivity.isDirectCut || isUnreachable(), connectivity),
+      connectRelay: () => this.connect(isUnreachable, connectivity),
       replicaClient: this.callFrom(connectivity),
       peers: {
         waitForResult: (address, id, position, waitMs, signal) =>
@@ -230,21 +236,30 @@
     };
   }
 
-  private connect(isDirectCut: () => boolean): gateway.ConnectedStore {
+  private connect(isDirectCut: () => boolean, connectivity: Connectivity): gateway.ConnectedStore {
     const { store } = this;
+    let hasResponse = false;
+    const call = async <Outcome>(act: () => Promise<Outcome>): Promise<Outcome> => {
+      const outcome = await act();
+      hasResponse = true;
+      return outcome;
+    };
     const failCall = async (): Promise<gateway.StoreFailure> => {
       await time.pause(100);
       return { status: gateway.StoreStatus.NotDone, reason: 'cut off' };
     };
     return {
       get nowMs() {
-        return store.nowMs;
+        if (!hasResponse) return -Infinity;
+        return store.nowMs - (connectivity.clockBehindMs ?? 0);
       },
-      transact: (transaction) => (isDirectCut() ? failCall() : store.transact(transaction)),
-      read: (range) => (isDirectCut() ? failCall() : store.read(range)),
-      listPartitions: (table) => (isDirectCut() ? failCall() : store.listPartitions(table)),
+      transact: (transaction) =>
+        isDirectCut() ? failCall() : call(() => store.transact(transaction)),
+      read: (range) => (isDirectCut() ? failCall() : call(() => store.read(range))),
+      listPartitions: (table) =>
+        isDirectCut() ? failCall() : call(() => store.listPartitions(table)),
       waitForChanges: (table, after, waitMs) =>
-        isDirectCut() ? failCall() : store.waitForChanges(table, after, waitMs),
+        isDirectCut() ? failCall() : call(() => store.waitForChanges(table, after, waitMs)),
       close: () => {},
     };
   }
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -91,18 +91,20 @@
 
   private dispatchWaitingItems(): void {
     const nowMs = this.options.environment.nowMs();
+    const storeNowMs = this.options.storeNowMs();
     const waitingJobs = [...this.jobs.values()].flatMap((job) => this.describeJob(job) ?? []);
     itemOrder.orderItems(waitingJobs, nowMs).forEach((ordered) => {
       const job = this.jobs.get(ordered.jobId);
       const itemProgress = job?.items.get(ordered.itemId);
       if (!job?.isOpen || itemProgress?.phase !== progress.ItemPhase.Waiting) return;
-      this.dispatchItem(job, itemProgress);
+      this.dispatchItem(job, itemProgress, storeNowMs);
     });
   }
 
   private describeJob(job: ownedJobs.OwnedJob): itemOrder.WaitingJob | undefined {
     const waitingItems = job.listItems(progress.ItemPhase.Waiting);
     const route = this.findRoute(job);
+    if (route) job.recordRoute(route);
     if (!route || waitingItems.length === 0) return undefined;
     const estimateRemainingMs = this.createEstimator(route);
     const groups = job.listGroups(this.carriedOverItems, estimateRemainingMs);
@@ -151,13 +153,17 @@
     return this.options.configuration.routeTable?.find(job.head.host, job.head.path);
   }
 
-  private dispatchItem(job: ownedJobs.OwnedJob, itemProgress: progress.ItemProgress): void {
+  private dispatchItem(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    storeNowMs: number,
+  ): void {
     const route = this.findRoute(job);
     if (!route) return;
     const nowMs = this.options.environment.nowMs();
-    const expiresMs = job.head.submittedMs + route.itemLifetimeMs;
-    if (this.options.storeNowMs() >= expiresMs) {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
+    const lifetimeMs = job.giveUpLimits.itemLifetimeMs;
+    if (storeNowMs >= job.head.submittedMs + lifetimeMs) {
+      job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
     const tracked = this.chooseReplica(job, itemProgress, route, nowMs);
@@ -222,20 +228,19 @@
         jobId: job.id,
         deadlineMs: Math.max(
           1,
-          job.head.submittedMs + route.itemLifetimeMs - this.options.storeNowMs(),
+          job.head.submittedMs + job.giveUpLimits.itemLifetimeMs - this.options.storeNowMs(),
         ),
       },
     });
     const end = await run.run();
     environment.metrics.count('runs', { service: tracked.replica.service, end: end.kind });
-    if (job.isOpen) this.onRunEnded(job, itemProgress, route, tracked, end);
+    if (job.isOpen) this.onRunEnded(job, itemProgress, tracked, end);
     this.scheduleDispatch();
   }
 
   private onRunEnded(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
-    route: configurations.Route,
     tracked: directories.TrackedReplica,
     end: streamRuns.StreamRunEnd,
   ): void {
@@ -245,7 +250,7 @@
       return;
     }
     if (end.kind === 'impossible') {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
+      job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'impossible' });
       return;
     }
     if (end.kind === 'refused') {
@@ -255,9 +260,12 @@
     }
     if (end.kind !== 'failed-answer') return;
     itemProgress.failedAnswers += 1;
-    if (itemProgress.failedAnswers >= Math.max(1, route.maximumAttempts)) {
-      job.finishItem(itemProgress, jobs.ResultState.Terminated);
-    }
+    const mostAttempts = job.giveUpLimits.maximumAttempts;
+    if (itemProgress.failedAnswers < mostAttempts) return;
+    job.finishItem(itemProgress, jobs.ResultState.Terminated, {
+      cause: 'failed answers',
+      mostAttempts,
+    });
   }
 
   private async scoreItem(
@@ -266,11 +274,16 @@
   ): Promise<void> {
     itemProgress.phase = progress.ItemPhase.Scoring;
     itemProgress.isTextComplete = true;
-    const maximumAttempts = this.findRoute(job)?.maximumAttempts ?? 1;
-    const end = await scoring.scoreItem(this.options, job, itemProgress, maximumAttempts);
+    const end = await scoring.scoreItem(this.options, job, itemProgress);
     if (!job.isOpen) return;
-    if (end === 'scored') job.finishItem(itemProgress, jobs.ResultState.Completed);
-    if (end === 'failed') job.finishItem(itemProgress, jobs.ResultState.Terminated);
+    if (end.kind === 'scored')
+      job.finishItem(itemProgress, jobs.ResultState.Completed, { cause: 'scored' });
+    if (end.kind !== 'failed') return;
+    job.finishItem(itemProgress, jobs.ResultState.Terminated, {
+      cause: 'scoring failed',
+      scoringFailures: end.failedAnswers,
+      mostAttempts: end.mostAttempts,
+    });
   }
 
   /** Moves items away from replicas that are much slower than others, and starts waiting items. */
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -8,6 +8,7 @@
 import type * as environments from '../types/environment';
 import * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
+import type * as configurations from '../types/configuration';
 import type * as itemOrder from './item-order';
 import * as progress from './item-progress';
 import type * as records from './job-record';
@@ -33,6 +34,14 @@
   readonly onClosed: (job: OwnedJob, closeReason: JobCloseReason) => void;
 }
 
+/** Why an item is done, with the limits that applied. */
+export interface FinishCause {
+  readonly cause: 'scored' | 'expired' | 'impossible' | 'failed answers' | 'scoring failed';
+  readonly lifetimeMs?: number;
+  readonly scoringFailures?: number;
+  readonly mostAttempts?: number;
+}
+
 /** The job as it was accepted or loaded. */
 export interface OwnedJobContent {
   readonly id: string;
@@ -41,6 +50,9 @@
   readonly results: readonly jobs.ItemResult[];
 }
 
+/** Limits after which an item may be given up. */
+export type GiveUpLimits = Pick<configurations.Route, 'itemLifetimeMs' | 'maximumAttempts'>;
+
 /** How often incomplete texts are saved, and how many new events a text needs to be saved. */
 const CHECKPOINT_INTERVAL_MS = 1000;
 const MINIMUM_CHECKPOINT_EVENTS = 12;
@@ -57,6 +69,8 @@
 
   closeReason: JobCloseReason | undefined;
 
+  private limits: GiveUpLimits = { itemLifetimeMs: 0, maximumAttempts: 1 };
+
   private state: jobStores.HeadState;
 
   private pendingResults: jobs.ItemResult[] = [];
@@ -94,6 +108,19 @@
     return this.state.head;
   }
 
+  /** The largest limits of all routes that the job has had here. */
+  get giveUpLimits(): GiveUpLimits {
+    return this.limits;
+  }
+
+  /** Records the route of the job, which a new configuration may change. */
+  recordRoute(route: configurations.Route): void {
+    this.limits = {
+      itemLifetimeMs: Math.max(this.limits.itemLifetimeMs, route.itemLifetimeMs),
+      maximumAttempts: Math.max(this.limits.maximumAttempts, route.maximumAttempts),
+    };
+  }
+
   get isOpen(): boolean {
     return this.closeReason === undefined;
   }
@@ -145,8 +172,15 @@
     return [...groups].map(([name, group]) => ({ name, ...group }));
   }
 
-  /** Marks an item as done and has its result appended to the list. */
-  finishItem(itemProgress: progress.ItemProgress, state: jobs.ResultState): void {
+  /**
+   * Marks an item as done and has its result appended to the list.
+   * @param cause why it is done, for the log
+   */
+  finishItem(
+    itemProgress: progress.ItemProgress,
+    state: jobs.ResultState,
+    cause: FinishCause,
+  ): void {
     if (!this.isOpen || itemProgress.phase === progress.ItemPhase.Done) return;
     itemProgress.phase = progress.ItemPhase.Done;
     this.pendingResults.push(itemProgress.toResult(state));
@@ -157,6 +191,8 @@
       events: itemProgress.events.length,
       versions: [...itemProgress.versions].join(','),
       failedAnswers: itemProgress.failedAnswers,
+      ageMs: Math.round(this.options.store.nowMs - this.head.submittedMs),
+      ...cause,
     });
     if (!this.isAppending) this.appendPendingResults();
   }
