Jobs keep their order when their items' lifetime starts anew

Change: the head keeps the time of the submission, which orders jobs and may be early without harm; the time from which items live, 'acceptedMs', stands beside it.

--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -50,13 +50,16 @@
   readonly total: number;
   /** Number of results in the job's list. */
   readonly listed: number;
-  /** When the job was submitted, on the store's clock; the age of the job is counted from it. */
+  /**
+   * When the job was submitted, on the store's clock as far as the submitting gateway knew it; its
+   * view may be behind, so this may be too early.
+   */
   readonly submittedMs: number;
   /**
-   * Whether `submittedMs` is certainly no earlier than the submission. The submitting gateway writes
-   * it before the store has responded, when its view of the clock may be behind.
+   * A time on the store's clock that is certainly no earlier than the submission: the items live from
+   * then on. Undefined until a gateway changes the job after the store has responded.
    */
-  readonly isSubmittedMsCertain?: boolean;
+  readonly acceptedMs?: number;
   readonly host: string;
   readonly path: string;
   readonly step: number;
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -162,7 +162,7 @@
     if (!route) return;
     const nowMs = this.options.environment.nowMs();
     const lifetimeMs = job.giveUpLimits.itemLifetimeMs;
-    if (storeNowMs >= job.head.submittedMs + lifetimeMs) {
+    if (storeNowMs >= job.head.acceptedMs + lifetimeMs) {
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
@@ -228,7 +228,7 @@
         jobId: job.id,
         deadlineMs: Math.max(
           1,
-          job.head.submittedMs + job.giveUpLimits.itemLifetimeMs - this.options.storeNowMs(),
+          job.head.acceptedMs + job.giveUpLimits.itemLifetimeMs - this.options.storeNowMs(),
         ),
       },
     });
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -226,7 +226,7 @@
       return;
     }
     environment.pause(CLOSED_JOB_RETENTION_MS).then(() => this.owned.delete(job.id));
-    const ageMs = store.nowMs - job.head.submittedMs;
+    const ageMs = store.nowMs - job.head.acceptedMs;
     environment
       .pause(Math.max(0, jobRetentionMs - ageMs) + DISCARD_MARGIN_MS)
       .then(() => store.discard(job.id));
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -8,9 +8,12 @@
 import * as stores from '../types/store';
 import * as records from './job-record';
 
+/** The head of a job that is certainly in the store. */
+export type AcceptedHead = records.JobHead & { readonly acceptedMs: number };
+
 /** A head row with the revision at which it was read or written. */
 export interface HeadState {
-  readonly head: records.JobHead;
+  readonly head: AcceptedHead;
   readonly revision: number;
 }
 
@@ -52,7 +55,7 @@
   async create(
     job: jobs.BatchJob,
     owner: records.JobOwner = this.self,
-  ): Promise<{ readonly outcome: stores.TransactionOutcome; readonly head: records.JobHead }> {
+  ): Promise<{ readonly outcome: stores.TransactionOutcome; readonly head: AcceptedHead }> {
     const head: records.JobHead = {
       owner: { vm: owner.vm, incarnation: owner.incarnation },
       isEnded: false,
@@ -85,7 +88,7 @@
       if (outcome.status !== stores.StoreStatus.Done) {
         return {
           outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' },
-          head,
+          head: this.withAcceptance(head),
         };
       }
     }
@@ -95,8 +98,7 @@
       { conditions, writes: [headWrite, ...lastBatch], removals: [] },
       headWrite,
     );
-    const isDone = outcome.status === stores.StoreStatus.Done;
-    return { outcome, head: isDone ? this.withCertainAge(head) : head };
+    return { outcome, head: this.withAcceptance(head) };
   }
 
   /** Reads the head of a job; undefined when there is no such job. */
@@ -110,7 +112,7 @@
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
     const row = outcome.rows.find((candidate) => candidate.key === records.HEAD_KEY);
     const head = row && records.decodeHead(row);
-    return head ? { head: this.withCertainAge(head), revision: row.revision } : undefined;
+    return head ? { head: this.withAcceptance(head), revision: row.revision } : undefined;
   }
 
   /** Reads the items of a job. */
@@ -245,13 +247,12 @@
   }
 
   /**
-   * Counts the age of a job from the response that has just shown it, unless an owner did so before;
-   * the next change of the job stores that time. An age that is too low is safe: no item is given up
+   * Lets the items live from the response that has just shown the job, unless an earlier owner did so;
+   * the next change of the job stores that time. A start that is too late is safe: no item is given up
    * and no row is discarded early.
    */
-  private withCertainAge(head: records.JobHead): records.JobHead {
-    if (head.isSubmittedMsCertain) return head;
-    return { ...head, submittedMs: this.store.nowMs, isSubmittedMsCertain: true };
+  private withAcceptance(head: records.JobHead): AcceptedHead {
+    return { ...head, acceptedMs: head.acceptedMs ?? this.store.nowMs };
   }
 
   private async change(
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -191,7 +191,7 @@
       events: itemProgress.events.length,
       versions: [...itemProgress.versions].join(','),
       failedAnswers: itemProgress.failedAnswers,
-      ageMs: Math.round(this.options.store.nowMs - this.head.submittedMs),
+      ageMs: Math.round(this.options.store.nowMs - this.head.acceptedMs),
       ...cause,
     });
     if (!this.isAppending) this.appendPendingResults();
