Failing test: a request that returns crashes replica after replica

Two gateways and a third one that starts later, six replicas on one store. A request that crashes each replica that runs it returns every 1.1 s at any gateway; other requests run beside it.

The simulated replicas can crash: connections break off, new ones are refused, a new id follows.

--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -25,6 +25,9 @@
   answerMs: number;
 }
 
+/** How long a replica that crashed refuses connections. */
+export const RESTART_MS = 3000;
+
 /** A stream request that a replica received. */
 export interface RecordedRun {
   readonly replica: string;
@@ -51,6 +54,19 @@
 
   readonly calls: { readonly replica: string; readonly id: string }[] = [];
 
+  /** Bodies of the requests that crash each replica that runs them. */
+  readonly deadlyBodies = new Set<string>();
+
+  /** Called when a replica is back after a crash. */
+  onRestart: (replica: string) => void = () => {};
+
+  /** The replicas that crashed, in this order. */
+  readonly crashes: string[] = [];
+
+  private readonly downUntilMs = new Map<string, number>();
+
+  private readonly connections = new Map<string, Set<() => void>>();
+
   readonly orders: (gateway.WeightsOrder & { readonly replica: string; readonly atMs: number })[] =
     [];
 
@@ -80,8 +96,59 @@
     request: gateway.ReplicaRequest,
     options: gateway.CallOptions,
   ): Promise<gateway.CallOutcome> {
+    if (this.isDown(replica.id)) {
+      return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
+    }
     this.calls.push({ replica: replica.id, id: request.id });
+    const connection = this.connect(replica.id);
+    const outcome = await Promise.race([connection.lost, this.run(replica, request, options)]);
+    connection.close();
+    return outcome;
+  }
+
+  /** Resets the connections to a replica, which breaks off its calls. */
+  resetConnections(id: string): void {
+    const connections = this.connections.get(id);
+    this.connections.delete(id);
+    connections?.forEach((reset) => reset());
+  }
+
+  /** Ends a replica; it is back after a while. */
+  crash(id: string): void {
+    this.crashes.push(id);
+    this.downUntilMs.set(id, time.nowMs() + RESTART_MS);
+    this.resetConnections(id);
+    setTimeout(() => this.onRestart(id), RESTART_MS);
+  }
+
+  private isDown(id: string): boolean {
+    return time.nowMs() < (this.downUntilMs.get(id) ?? 0);
+  }
+
+  private connect(id: string): {
+    readonly lost: Promise<gateway.CallOutcome>;
+    readonly close: () => void;
+  } {
+    const connections = this.connections.get(id) ?? new Set();
+    this.connections.set(id, connections);
+    let reset = (): void => {};
+    const lost = new Promise<gateway.CallOutcome>((resolve) => {
+      reset = () => resolve({ status: CallStatus.Broken, reason: 'ECONNRESET' });
+    });
+    connections.add(reset);
+    return { lost, close: () => connections.delete(reset) };
+  }
+
+  private async run(
+    replica: gateway.Replica,
+    request: gateway.ReplicaRequest,
+    options: gateway.CallOptions,
+  ): Promise<gateway.CallOutcome> {
     const behaviour = this.getBehaviour(replica.id);
+    if (this.deadlyBodies.has(request.body.toString())) {
+      await time.pause(behaviour.answerMs);
+      this.crash(replica.id);
+    }
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
       return { status: CallStatus.NotRun, reason: 'status 503' };
