A request that crashes replicas is refused at every gateway

What callers saw: one request crashed replica after replica, whichever gateway it returned at.

Cause: a lost connection counted against the replica only. Nothing linked the request to the crashes, its retry went to the next replica, and no gateway sees all crashes of one request. Class of fault: a query of death that is retried.

Change: evidence is a grow-only set of pairs of a request's fingerprint and a replica that ended under it (decisions/core/quarantine). A replica has ended when the connection in use was lost, a new one is refused at once, and it was neither draining nor gone from the directory. Two replicas that ended under no other request quarantine it, or three in all; an answer clears a request. Gateways share the rows through the table of notices, which they watch anyway. Only callers' requests are subject to it, as items and scoring calls are owed. A refusal is a 503 that was never sent, so its promise holds.

The fake replica does not crash a second time while it is down.

--- /dev/null
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -0,0 +1,168 @@
+import * as fastCheck from 'fast-check';
+import * as decisions from '@azureworks/decisions';
+
+const { QUARANTINE_EVIDENCE_LIFETIME_MS: LIFETIME_MS, QuarantineState } = decisions;
+const MAXIMUM_FINGERPRINTS = 4096;
+
+interface Report {
+  readonly fingerprint: string;
+  readonly replica: string;
+  readonly isSole: boolean;
+  readonly ageMs: number;
+}
+
+function report(fingerprint: string, replica: string, options: Partial<Report> = {}): Report {
+  return { fingerprint, replica, isSole: true, ageMs: 0, ...options };
+}
+
+const reportArbitrary = fastCheck.record({
+  fingerprint: fastCheck.constantFrom('a', 'b', 'c', 'd'),
+  replica: fastCheck.constantFrom('r1', 'r2', 'r3', 'r4', 'r5'),
+  isSole: fastCheck.boolean(),
+  ageMs: fastCheck.integer({ min: 0, max: LIFETIME_MS + 1000 }),
+});
+
+describe('the quarantine of requests', () => {
+  let clock: decisions.ManualClock;
+  let quarantine: decisions.Quarantine;
+
+  beforeEach(() => {
+    clock = decisions.ManualClock.create();
+    quarantine = decisions.Quarantine.create(clock);
+  });
+
+  function judge(fingerprint: string): decisions.QuarantineState {
+    return quarantine.judge(fingerprint).state;
+  }
+
+  it('requires two replicas that ended under no other request, or three replicas', () => {
+    quarantine.record(report('sole', 'r1'));
+    expect(judge('sole')).toBe(QuarantineState.Suspect);
+    quarantine.record(report('sole', 'r2'));
+    expect(judge('sole')).toBe(QuarantineState.Quarantined);
+    ['r3', 'r4'].forEach((replica) =>
+      quarantine.record(report('shared', replica, { isSole: false })),
+    );
+    expect(judge('shared')).toBe(QuarantineState.Suspect);
+    quarantine.record(report('shared', 'r5', { isSole: false }));
+    expect(judge('shared')).toBe(QuarantineState.Quarantined);
+    expect(judge('other')).toBe(QuarantineState.Clear);
+  });
+
+  it('counts a replica for all requests that ran there, until all others are cleared', () => {
+    ['r1', 'r2'].forEach((replica) => quarantine.record(report('deadly', replica)));
+    quarantine.record(report('neighbour', 'r2'));
+    expect(judge('deadly')).toBe(QuarantineState.Suspect);
+    expect(quarantine.clear('neighbour')).toEqual(['r2']);
+    expect(judge('neighbour')).toBe(QuarantineState.Clear);
+    expect(judge('deadly')).toBe(QuarantineState.Quarantined);
+  });
+
+  it('tells how old the evidence is and how long it lasts, and lets it expire', () => {
+    ['r1', 'r2'].forEach((replica) => quarantine.record(report('a', replica, { ageMs: 1000 })));
+    clock.advance(LIFETIME_MS - 1001);
+    expect(quarantine.judge('a')).toEqual({
+      state: QuarantineState.Quarantined,
+      endedReplicas: 2,
+      ageMs: LIFETIME_MS - 1,
+      remainingMs: 1,
+    });
+    clock.advance(1);
+    expect(judge('a')).toBe(QuarantineState.Clear);
+    expect(quarantine.isEmpty).toBe(true);
+  });
+
+  it('gives the same verdicts whatever the order and the number of the reports', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(reportArbitrary, { maxLength: 30 }),
+        fastCheck.array(fastCheck.nat(), { maxLength: 10 }),
+        fastCheck.infiniteStream(fastCheck.nat()),
+        (reports, repeated, ranks) => {
+          const again = repeated.flatMap((index) => reports[index % reports.length] ?? []);
+          const shuffled = [...reports, ...again]
+            .map((value) => ({ value, rank: ranks.next().value as number }))
+            .sort((first, second) => first.rank - second.rank)
+            .map(({ value }) => value);
+          const other = decisions.Quarantine.create(clock);
+          const first = decisions.Quarantine.create(clock);
+          reports.forEach((value) => first.record(value));
+          shuffled.forEach((value) => other.record(value));
+          ['a', 'b', 'c', 'd'].forEach((fingerprint) =>
+            expect(other.judge(fingerprint)).toEqual(first.judge(fingerprint)),
+          );
+        },
+      ),
+    );
+  });
+
+  it('never quarantines a request under which fewer than two replicas ended', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(reportArbitrary, { maxLength: 40 }), (reports) => {
+        const fresh = decisions.Quarantine.create(clock);
+        reports.forEach((value) => fresh.record(value));
+        ['a', 'b', 'c', 'd'].forEach((fingerprint) => {
+          const replicas = new Set(
+            reports
+              .filter((value) => value.fingerprint === fingerprint && value.ageMs < LIFETIME_MS)
+              .map((value) => value.replica),
+          );
+          const { state } = fresh.judge(fingerprint);
+          if (replicas.size < 2) expect(state).not.toBe(QuarantineState.Quarantined);
+          if (replicas.size >= 3) expect(state).toBe(QuarantineState.Quarantined);
+        });
+      }),
+    );
+  });
+
+  it('keeps the newest evidence within a bounded memory', () => {
+    for (let index = 0; index < 2 * MAXIMUM_FINGERPRINTS; index += 1) {
+      quarantine.record(report(`f${index}`, `r${index}`));
+      clock.advance(1);
+    }
+    expect(quarantine.size).toBe(MAXIMUM_FINGERPRINTS);
+    expect(judge(`f${MAXIMUM_FINGERPRINTS - 1}`)).toBe(QuarantineState.Clear);
+    expect(judge(`f${MAXIMUM_FINGERPRINTS}`)).toBe(QuarantineState.Suspect);
+    for (let index = 0; index < 100; index += 1) quarantine.record(report('many', `m${index}`));
+    expect(quarantine.judge('many').endedReplicas).toBe(16);
+  });
+});
+
+describe('a replay of a request that crashes replicas', () => {
+  it('quarantines it and none of the requests that ran beside it', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.array(fastCheck.integer({ min: 0, max: 4 }), { minLength: 3, maxLength: 12 }),
+        (neighbourCounts) => {
+          const clock = decisions.ManualClock.create();
+          const quarantine = decisions.Quarantine.create(clock);
+          let crashes = 0;
+          neighbourCounts.forEach((neighbours, round) => {
+            if (quarantine.judge('deadly').state === QuarantineState.Quarantined) return;
+            crashes += 1;
+            const replica = `replica-${round}`;
+            quarantine.record(report('deadly', replica));
+            const innocents = Array.from(
+              { length: neighbours },
+              (_unused, index) => `innocent-${round}-${index}`,
+            );
+            innocents.forEach((innocent) => quarantine.record(report(innocent, replica)));
+            innocents.forEach((innocent) =>
+              expect(quarantine.judge(innocent).state).toBe(QuarantineState.Suspect),
+            );
+            // Every second innocent is answered by another replica.
+            innocents
+              .filter((_name, index) => index % 2 === 0)
+              .forEach((innocent) => {
+                quarantine.clear(innocent);
+                expect(quarantine.judge(innocent).state).toBe(QuarantineState.Clear);
+              });
+            clock.advance(3000);
+          });
+          expect(crashes).toBeLessThanOrEqual(3);
+          expect(quarantine.judge('deadly').state).toBe(QuarantineState.Quarantined);
+        },
+      ),
+    );
+  });
+});
--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -46,6 +46,11 @@
   'target-failed': { status: 502, verdict: MayHaveRun, message: 'the target failed' },
   'outcome-unknown': { status: 502, verdict: MayHaveRun, message: 'the outcome is not known' },
   'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
+  'request-quarantined': {
+    status: 503,
+    verdict: NotRun,
+    message: 'targets ended when they ran this request before',
+  },
   'store-unavailable': { status: 503, verdict: NotRun, message: 'the store cannot be reached' },
   'no-configuration': {
     status: 503,
--- /dev/null
+++ b/packages/decisions/src/core/quarantine.ts
@@ -0,0 +1,172 @@
+/**
+ * Quarantine of requests that end the replicas which run them, also known as queries of death.
+ *
+ * Load pattern: one request crashes each replica that begins to run it. Retries within an attempt and
+ * by the caller carry it from replica to replica, through any gateway, until a whole service is down.
+ * Requests that ran beside it on a crashed replica look the same after one crash, so one crash proves
+ * nothing; only the request that causes them is present at crash after crash.
+ *
+ * The evidence is a set of pairs of a request and a replica that ended under it. Merging is a union,
+ * so reports may arrive in any order and more than once. A replica that ended under a single request
+ * counts for more than one that ended under several. A request that was answered is cleared, which
+ * leaves its former neighbours as the only ones that may have ended the replica.
+ */
+import type * as clocks from '../types/clock';
+
+/** That a replica ended while it was running a request. */
+export interface EndedReplica {
+  /** Identifies all repetitions of a request. */
+  readonly fingerprint: string;
+  /** Identifies one incarnation of the replica. */
+  readonly replica: string;
+  /** Whether no request without a fingerprint is known to have run beside it. */
+  readonly isSole: boolean;
+  /** Time since the replica ended. */
+  readonly ageMs: number;
+}
+
+/** What the evidence says about a request. */
+export const QuarantineState = {
+  /** No replica has ended under it. */
+  Clear: 'clear',
+  /** Replicas have ended under it, but others may have caused that. */
+  Suspect: 'suspect',
+  Quarantined: 'quarantined',
+} as const;
+export type QuarantineState = (typeof QuarantineState)[keyof typeof QuarantineState];
+
+/** A state and the evidence for it. */
+export interface QuarantineVerdict {
+  readonly state: QuarantineState;
+  readonly endedReplicas: number;
+  /** Age of the newest evidence. */
+  readonly ageMs: number;
+  /** Time after which the newest evidence expires. */
+  readonly remainingMs: number;
+}
+
+/** How long evidence counts. */
+export const QUARANTINE_EVIDENCE_LIFETIME_MS = 600_000;
+/** Requests for which evidence is kept; the oldest evidence is dropped first. */
+const MAXIMUM_FINGERPRINTS = 4096;
+/** Replicas that are remembered for one request. */
+const MAXIMUM_REPLICAS = 16;
+/** Weight of a replica that ended under several requests: three of them are required. */
+const SHARED_WEIGHT = 2;
+/** Weight of a replica that ended under this request only: two of them suffice. */
+const SOLE_WEIGHT = 3;
+const WEIGHT_LIMIT = 6;
+
+interface Evidence {
+  isSole: boolean;
+  endedMs: number;
+}
+
+/** The evidence that one process knows, its own and that of others. */
+export class Quarantine {
+  /** By fingerprint, in the order of the last change, and by replica. */
+  private readonly evidence = new Map<string, Map<string, Evidence>>();
+
+  private readonly fingerprints = new Map<string, Set<string>>();
+
+  private constructor(private readonly clock: clocks.Clock) {}
+
+  static create(clock: clocks.Clock): Quarantine {
+    return new Quarantine(clock);
+  }
+
+  /** Whether there is no evidence against any request. */
+  get isEmpty(): boolean {
+    return this.evidence.size === 0;
+  }
+
+  /** Number of requests with evidence. */
+  get size(): number {
+    return this.evidence.size;
+  }
+
+  /** Adds evidence; returns false if it was known. */
+  record({ fingerprint, replica, isSole, ageMs }: EndedReplica): boolean {
+    if (ageMs >= QUARANTINE_EVIDENCE_LIFETIME_MS) return false;
+    const replicas = this.evidence.get(fingerprint) ?? new Map<string, Evidence>();
+    const known = replicas.get(replica);
+    const endedMs = this.clock.nowMs() - ageMs;
+    replicas.set(replica, {
+      isSole: isSole && (known?.isSole ?? true),
+      endedMs: Math.max(endedMs, known?.endedMs ?? -Infinity),
+    });
+    this.evidence.delete(fingerprint);
+    this.evidence.set(fingerprint, replicas);
+    const neighbours = this.fingerprints.get(replica) ?? new Set<string>();
+    this.fingerprints.set(replica, neighbours.add(fingerprint));
+    this.limitMemory(fingerprint, replicas);
+    return known === undefined;
+  }
+
+  /** Removes one piece of evidence. */
+  withdraw(fingerprint: string, replica: string): void {
+    const replicas = this.evidence.get(fingerprint);
+    replicas?.delete(replica);
+    if (replicas?.size === 0) this.evidence.delete(fingerprint);
+    const neighbours = this.fingerprints.get(replica);
+    neighbours?.delete(fingerprint);
+    if (neighbours?.size === 0) this.fingerprints.delete(replica);
+  }
+
+  /** Removes all evidence against a request; returns the replicas that had ended under it. */
+  clear(fingerprint: string): string[] {
+    const replicas = [...(this.evidence.get(fingerprint)?.keys() ?? [])];
+    replicas.forEach((replica) => this.withdraw(fingerprint, replica));
+    return replicas;
+  }
+
+  /** Judges a request by the evidence that has not expired. */
+  judge(fingerprint: string): QuarantineVerdict {
+    this.expire(fingerprint);
+    const replicas = [...(this.evidence.get(fingerprint) ?? [])];
+    const weight = replicas
+      .map(([replica, { isSole }]) =>
+        isSole && this.fingerprints.get(replica)?.size === 1 ? SOLE_WEIGHT : SHARED_WEIGHT,
+      )
+      .reduce((sum, replicaWeight) => sum + replicaWeight, 0);
+    const newestMs = Math.max(...replicas.map(([, { endedMs }]) => endedMs));
+    const ageMs = replicas.length === 0 ? 0 : Math.max(0, this.clock.nowMs() - newestMs);
+    return {
+      state: chooseState(weight),
+      endedReplicas: replicas.length,
+      ageMs,
+      remainingMs: replicas.length === 0 ? 0 : QUARANTINE_EVIDENCE_LIFETIME_MS - ageMs,
+    };
+  }
+
+  /** Removes everything that has expired. */
+  expireAll(): void {
+    [...this.evidence.keys()].forEach((fingerprint) => this.expire(fingerprint));
+  }
+
+  private expire(fingerprint: string): void {
+    const oldestMs = this.clock.nowMs() - QUARANTINE_EVIDENCE_LIFETIME_MS;
+    [...(this.evidence.get(fingerprint) ?? [])]
+      .filter(([, { endedMs }]) => endedMs <= oldestMs)
+      .forEach(([replica]) => this.withdraw(fingerprint, replica));
+  }
+
+  private limitMemory(fingerprint: string, replicas: ReadonlyMap<string, Evidence>): void {
+    if (replicas.size > MAXIMUM_REPLICAS) {
+      const [oldest] = [...replicas].sort(
+        ([firstReplica, first], [secondReplica, second]) =>
+          first.endedMs - second.endedMs || (firstReplica < secondReplica ? -1 : 1),
+      );
+      if (oldest) this.withdraw(fingerprint, oldest[0]);
+    }
+    const [oldestFingerprint] = this.evidence.keys();
+    if (this.evidence.size > MAXIMUM_FINGERPRINTS && oldestFingerprint !== undefined) {
+      this.clear(oldestFingerprint);
+    }
+  }
+}
+
+function chooseState(weight: number): QuarantineState {
+  if (weight >= WEIGHT_LIMIT) return QuarantineState.Quarantined;
+  return weight > 0 ? QuarantineState.Suspect : QuarantineState.Clear;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,13 @@
   isErrorCode,
 } from './core/errors';
 export { chooseNode, rankNodes } from './core/rendezvous';
+export {
+  type EndedReplica,
+  QUARANTINE_EVIDENCE_LIFETIME_MS,
+  Quarantine,
+  QuarantineState,
+  type QuarantineVerdict,
+} from './core/quarantine';
 export { RetryBudget } from './core/retry-budget';
 export { isRunTooStale, isFresh, measureStaleness } from './core/staleness';
 export { AffinityPolicy, estimateLoad, estimateCompletionMs } from './policies/affinity';
--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -1,6 +1,8 @@
+import * as decisions from '@azureworks/decisions';
 import type * as gateway from '@azureworks/gateway';
 import type * as runtime from '@azureworks/runtime';
 import type * as activeConfigurations from '../src/configuration/active-configuration';
+import * as requestQuarantines from '../src/quarantine/request-quarantine';
 import * as forwarders from '../src/requests/forwarder';
 import * as fakeReplicas from './support/fake-replicas';
 import * as plainDirectories from './support/plain-directory';
@@ -40,11 +42,21 @@
     const configurationKeeper = {
       current: configuration,
     } as activeConfigurations.ActiveConfiguration;
+    const quarantine = requestQuarantines.RequestQuarantine.create({
+      environment,
+      quarantine: decisions.Quarantine.create({ nowMs: time.nowMs }),
+      reporter: { enqueue: () => {}, settle: () => Promise.resolve() },
+      directory,
+      replicaClient: replicas,
+      storeNowMs: time.nowMs,
+      callerHeaders: [],
+    });
     const forwarder = forwarders.Forwarder.create({
       environment,
       configuration: configurationKeeper,
       directory,
       replicaClient: replicas,
+      quarantine,
     });
     const caller: gateway.CallerRequest = {
       request: {
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -5,7 +5,7 @@
 import * as gateway from '@azureworks/gateway';
 import * as time from './virtual-time';
 
-const { CallStatus, OrderStatus } = gateway;
+const { CallStatus, ListeningState, OrderStatus } = gateway;
 
 /** How a replica handles the next requests. */
 export interface ReplicaBehaviour {
@@ -23,6 +23,8 @@
   status: number;
   /** Time until a plain answer. */
   answerMs: number;
+  /** The response to a new connection while the replica has not crashed. */
+  listening: gateway.ListeningState;
 }
 
 /** How long a replica that crashed refuses connections. */
@@ -85,6 +87,7 @@
         isSilent: false,
         status: 200,
         answerMs: 10,
+        listening: ListeningState.Accepting,
       };
       this.behaviours.set(id, behaviour);
     }
@@ -133,7 +136,8 @@
     this.connections.set(id, connections);
     let reset = (): void => {};
     const lost = new Promise<gateway.CallOutcome>((resolve) => {
-      reset = () => resolve({ status: CallStatus.Broken, reason: 'ECONNRESET' });
+      reset = () =>
+        resolve({ status: CallStatus.Broken, reason: 'ECONNRESET', isConnectionLost: true });
     });
     connections.add(reset);
     return { lost, close: () => connections.delete(reset) };
@@ -147,7 +151,7 @@
     const behaviour = this.getBehaviour(replica.id);
     if (this.deadlyBodies.has(request.body.toString())) {
       await time.pause(behaviour.answerMs);
-      this.crash(replica.id);
+      if (!this.isDown(replica.id)) this.crash(replica.id);
     }
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
@@ -226,6 +230,12 @@
     return Promise.resolve({ versions, isBusy: false, acceptedOrders: 0 });
   }
 
+  probe(replica: gateway.Replica): Promise<gateway.ListeningState> {
+    return Promise.resolve(
+      this.isDown(replica.id) ? ListeningState.Refusing : this.getBehaviour(replica.id).listening,
+    );
+  }
+
   closeConnections(): void {}
 
   close(): Promise<void> {
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -157,12 +157,18 @@
   /** Registers a replica of the engine service or of the plain service. */
   addReplica(
     id: string,
-    options: { readonly isPlain?: boolean; readonly version?: number } = {},
+    options: {
+      readonly isPlain?: boolean;
+      readonly version?: number;
+      readonly bornMs?: number;
+      readonly isDraining?: boolean;
+    } = {},
   ): void {
     const value = JSON.stringify({
       service: options.isPlain ? PLAIN_SERVICE : ENGINE_SERVICE,
       version: options.version ?? 1,
-      isDraining: false,
+      isDraining: options.isDraining ?? false,
+      bornMs: options.bornMs ?? 1,
     });
     this.replicas.versions.set(id, options.version ?? 1);
     this.store.write('replicas', '', id, value);
@@ -191,6 +197,7 @@
       decodeOperatorRow: (row) => this.decodeOperatorRow(row),
       decodeReplica,
       decodeJob: () => 'not used',
+      callerHeaders: ['x-caller'],
       leaseMs: 3000,
       jobRetentionMs: 120_000,
     });
@@ -225,6 +232,7 @@
       stream: (...stream) => unlessDead(() => replicas.stream(...stream)),
       order: (replica, order) => unlessDead(() => replicas.order(replica, order)),
       fetchReport: (replica) => unlessDead(() => replicas.fetchReport(replica)),
+      probe: (replica) => unlessDead(() => replicas.probe(replica)),
       closeConnections: () => {},
       close: () => Promise.resolve(),
     };
@@ -264,6 +272,7 @@
       readonly service: string;
       readonly version: number;
       readonly isDraining: boolean;
+      readonly bornMs: number;
     };
     return {
       id: row.key,
@@ -272,7 +281,7 @@
       failureDomain: 'domain-a',
       slots: 4,
       isDraining: parsed.isDraining,
-      bornMs: 1,
+      bornMs: parsed.bornMs,
       modelVersions: new Map([['model', parsed.version]]),
     };
   } catch {
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -11,6 +11,8 @@
 import * as jobStores from '../jobs/job-store';
 import * as takeoverTasks from '../jobs/takeover-task';
 import * as membershipTasks from '../membership/membership-task';
+import * as evidenceRows from '../quarantine/evidence-rows';
+import * as sharedQuarantines from '../quarantine/shared-quarantine';
 import * as directories from '../replicas/directory';
 import * as forwarders from '../requests/forwarder';
 import * as routedStores from '../store/routed-store';
@@ -37,6 +39,8 @@
   readonly decodeReplica: directories.DecodeReplica;
   /** Decodes a submitted batch job; returns an error text when it is invalid. */
   readonly decodeJob: (request: exchanges.CallerRequest) => jobs.BatchJob | string;
+  /** Lower-case names of the headers that identify a caller. */
+  readonly callerHeaders: readonly string[];
   readonly leaseMs: number;
   /** How long a batch job can be read after its submission, in milliseconds. */
   readonly jobRetentionMs: number;
@@ -90,11 +94,18 @@
       isStoreStable: () => this.store.isStable,
     });
     const { configuration } = this;
+    const quarantine = sharedQuarantines.createSharedQuarantine({
+      ...options,
+      store: this.store,
+      directory,
+      listWorkers: () => this.members.listWorkers(),
+    });
     this.forwarder = forwarders.Forwarder.create({
       environment,
       configuration,
       directory,
       replicaClient,
+      quarantine: quarantine.requests,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
@@ -146,10 +157,15 @@
       },
       onReplicaRemoved: (tracked) => replicaClient.closeConnections(tracked.replica),
     });
-    const watch = (table: string, observer: tableWatches.TableObserver): runtime.Task =>
+    const watch = (
+      table: string,
+      observer: tableWatches.TableObserver,
+      partition?: string,
+    ): runtime.Task =>
       tableWatches.TableWatch.create({
         store: this.store,
         table,
+        ...(partition === undefined ? {} : { partition }),
         observer,
         log,
         pause: environment.pause,
@@ -158,9 +174,14 @@
     const tasks = [
       watch(options.tables.operator, configuration),
       watch(options.tables.replicas, directory),
-      watch(jobRecords.NOTICES_TABLE, this.takeover),
+      watch(
+        jobRecords.NOTICES_TABLE,
+        tableWatches.combineObservers([this.takeover, quarantine.evidenceTask]),
+        evidenceRows.EVIDENCE_PARTITION,
+      ),
       this.members,
       this.takeover,
+      quarantine.evidenceTask,
       weights,
     ];
     this.supervisor = runtime.Supervisor.create('gateway', tasks, log);
--- a/packages/gateway/src/jobs/bounded-map.ts
+++ b/packages/gateway/src/jobs/bounded-map.ts
@@ -13,6 +13,11 @@
     return new BoundedMap(maximumSize);
   }
 
+  /** All entries, the one that was set longest ago first. */
+  list(): [string, Value][] {
+    return [...this.entries];
+  }
+
   get(key: string): Value | undefined {
     return this.entries.get(key);
   }
--- /dev/null
+++ b/packages/gateway/src/quarantine/evidence-rows.ts
@@ -0,0 +1,67 @@
+/**
+ * The rows in which gateways share evidence against requests: one for each pair of a request and a
+ * replica that ended under it. Rows of several gateways merge without conditions.
+ */
+import * as crypto from 'node:crypto';
+import type * as decisions from '@azureworks/decisions';
+import * as records from '../jobs/job-record';
+import type * as stores from '../types/store';
+
+/**
+ * The partition of all evidence, in the table of notices that every gateway watches. The other
+ * partitions are named by the ids of jobs.
+ */
+export const EVIDENCE_PARTITION = '/ended-replicas';
+
+/** All rows of evidence. */
+export const EVIDENCE_RANGE: stores.RowRange = {
+  table: records.NOTICES_TABLE,
+  partition: EVIDENCE_PARTITION,
+};
+
+const REPLICA_HASH_LENGTH = 16;
+const FINGERPRINT_PATTERN = /^[0-9a-f]{32}$/;
+
+/** Evidence with the time of the store at which the replica ended. */
+export interface StoredEvidence {
+  readonly fingerprint: string;
+  readonly replica: string;
+  readonly isSole: boolean;
+  readonly endedMs: number;
+}
+
+/** The address of a row; it depends on the request and the replica only. */
+export function locateEvidence(fingerprint: string, replica: string): stores.RowAddress {
+  const replicaHash = crypto.createHash('sha256').update(replica).digest('hex');
+  const key = `${fingerprint}.${replicaHash.slice(0, REPLICA_HASH_LENGTH)}`;
+  return { table: records.NOTICES_TABLE, partition: EVIDENCE_PARTITION, key };
+}
+
+export function encodeEvidence(evidence: StoredEvidence): stores.RowWrite {
+  const { fingerprint, replica, isSole, endedMs } = evidence;
+  const value = Buffer.from(JSON.stringify({ replica, isSole, endedMs: Math.round(endedMs) }));
+  return { ...locateEvidence(fingerprint, replica), value };
+}
+
+/** Decodes a row; undefined when no gateway can have written it. */
+export function decodeEvidence(row: stores.Row): StoredEvidence | undefined {
+  const fingerprint = row.key.split('.')[0] ?? '';
+  if (!FINGERPRINT_PATTERN.test(fingerprint)) return undefined;
+  try {
+    const value = JSON.parse(row.value.toString()) as Partial<StoredEvidence>;
+    const { replica, isSole, endedMs } = value;
+    if (typeof replica !== 'string' || typeof endedMs !== 'number') return undefined;
+    return { fingerprint, replica, isSole: isSole === true, endedMs };
+  } catch {
+    // A row that is not JSON was not written by a gateway.
+    return undefined;
+  }
+}
+
+/** Converts stored evidence to what this process records. */
+export function toEndedReplica(
+  { fingerprint, replica, isSole, endedMs }: StoredEvidence,
+  storeNowMs: number,
+): decisions.EndedReplica {
+  return { fingerprint, replica, isSole, ageMs: Math.max(0, storeNowMs - endedMs) };
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -0,0 +1,146 @@
+/**
+ * Learns the evidence of other gateways from the store, and removes rows that have expired.
+ *
+ * Every gateway learns from the watch of a table, never from another gateway, and writes only what
+ * it observed itself, so the traffic grows with the evidence and not with the square of the fleet.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as runtime from '@azureworks/runtime';
+import * as boundedMaps from '../jobs/bounded-map';
+import type * as tableWatches from '../store/table-watch';
+import type * as environments from '../types/environment';
+import * as stores from '../types/store';
+import type * as evidenceReporters from './evidence-reporter';
+import * as evidenceRows from './evidence-rows';
+
+export interface EvidenceTaskOptions {
+  readonly environment: environments.Environment;
+  readonly store: stores.Store;
+  readonly quarantine: decisions.Quarantine;
+  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'stop'>;
+  /** The gateways of which one removes expired rows. */
+  readonly listWorkers: () => readonly { readonly vm: string }[];
+}
+
+/** Interval between searches for expired rows. */
+const CLEANUP_INTERVAL_MS = 60_000;
+/** Rows removed by one cleanup. */
+const CLEANUP_ROWS = 100;
+/** Rows outlive their evidence by this time, so that clocks need not agree exactly. */
+const CLEANUP_GRACE_MS = 10_000;
+/** Rows that are remembered, to know what a removal withdraws; the oldest are forgotten first. */
+const MAXIMUM_STORED_ROWS = 16_384;
+/** Fingerprints named in one log line. */
+const MAXIMUM_LOGGED_FINGERPRINTS = 5;
+
+/** Maintains the shared evidence. */
+export class EvidenceTask implements runtime.Task, tableWatches.TableObserver {
+  readonly name = 'evidence';
+
+  /** The evidence in the store, by key: a change that reports a removal has no value. */
+  private readonly stored =
+    boundedMaps.BoundedMap.create<evidenceRows.StoredEvidence>(MAXIMUM_STORED_ROWS);
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: EvidenceTaskOptions) {}
+
+  static create(options: EvidenceTaskOptions): EvidenceTask {
+    return new EvidenceTask(options);
+  }
+
+  start(): Promise<void> {
+    this.timer = setInterval(() => this.cleanUp(), CLEANUP_INTERVAL_MS);
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.options.reporter.stop();
+    return Promise.resolve();
+  }
+
+  onSnapshot(rows: readonly stores.Row[]): void {
+    const present = new Set(rows.map((row) => row.key));
+    this.stored
+      .list()
+      .filter(([key]) => !present.has(key))
+      .forEach(([key]) => this.forget(key));
+    this.learn(rows);
+  }
+
+  onChanges(changes: readonly stores.RowChange[]): void {
+    const relevant = changes.filter(
+      ({ partition }) => partition === evidenceRows.EVIDENCE_PARTITION,
+    );
+    if (relevant.length === 0) return;
+    relevant.filter((change) => change.isRemoved).forEach((change) => this.forget(change.key));
+    this.learn(relevant.filter((change) => !change.isRemoved));
+  }
+
+  private learn(rows: readonly stores.Row[]): void {
+    const { quarantine, store, environment } = this.options;
+    const learned = rows.flatMap((row) => {
+      const evidence = evidenceRows.decodeEvidence(row);
+      if (!evidence) return [];
+      const ended = evidenceRows.toEndedReplica(evidence, store.nowMs);
+      if (ended.ageMs >= decisions.QUARANTINE_EVIDENCE_LIFETIME_MS) return [];
+      this.stored.set(row.key, evidence);
+      return quarantine.record(ended) ? [evidence.fingerprint] : [];
+    });
+    if (learned.length === 0) return;
+    const fingerprints = [...new Set(learned)];
+    const isQuarantined = (fingerprint: string): boolean =>
+      quarantine.judge(fingerprint).state === decisions.QuarantineState.Quarantined;
+    environment.metrics.count('quarantine_evidence', { source: 'store' }, learned.length);
+    environment.log.info('evidence learned', {
+      rows: learned.length,
+      fingerprints: fingerprints.slice(0, MAXIMUM_LOGGED_FINGERPRINTS).join(' '),
+      quarantined: fingerprints.filter(isQuarantined).length,
+    });
+  }
+
+  private forget(key: string): void {
+    const evidence = this.stored.get(key);
+    this.stored.delete(key);
+    if (!evidence) return;
+    this.options.quarantine.withdraw(evidence.fingerprint, evidence.replica);
+    this.options.environment.log.info('evidence withdrawn', {
+      fingerprint: evidence.fingerprint,
+      replica: evidence.replica,
+    });
+  }
+
+  /** Removes expired rows, if this gateway is the one that does. */
+  private async cleanUp(): Promise<void> {
+    const { environment, store, quarantine, listWorkers } = this.options;
+    quarantine.expireAll();
+    this.dropExpired();
+    const workers = listWorkers().map(({ vm }) => vm);
+    if (decisions.chooseNode(evidenceRows.EVIDENCE_PARTITION, workers) !== environment.vm) return;
+    const outcome = await store.read(evidenceRows.EVIDENCE_RANGE);
+    if (outcome.status !== stores.StoreStatus.Done) return;
+    const removals = outcome.rows.filter((row) => this.isExpired(row)).slice(0, CLEANUP_ROWS);
+    if (removals.length === 0) return;
+    const { status } = await store.transact({
+      conditions: [],
+      writes: [],
+      removals: removals.map(({ table, partition, key }) => ({ table, partition, key })),
+    });
+    environment.log.info('expired evidence removed', { rows: removals.length, status });
+  }
+
+  private dropExpired(): void {
+    const oldestMs = this.options.store.nowMs - decisions.QUARANTINE_EVIDENCE_LIFETIME_MS;
+    this.stored
+      .list()
+      .filter(([, { endedMs }]) => endedMs <= oldestMs)
+      .forEach(([key]) => this.stored.delete(key));
+  }
+
+  private isExpired(row: stores.Row): boolean {
+    const evidence = evidenceRows.decodeEvidence(row);
+    const lifetimeMs = decisions.QUARANTINE_EVIDENCE_LIFETIME_MS + CLEANUP_GRACE_MS;
+    return !evidence || this.options.store.nowMs - evidence.endedMs >= lifetimeMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -0,0 +1,88 @@
+/**
+ * One request of a caller on its way to replicas: observes how its calls end, and limits to which
+ * replicas it may be sent once it is suspect.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as directories from '../replicas/directory';
+import type * as replicas from '../types/replica';
+import type * as requestQuarantines from './request-quarantine';
+
+/** Hexadecimal digits of the fingerprint that place a suspect request. */
+const DRAW_DIGITS = 8;
+const DRAW_RANGE = 16 ** DRAW_DIGITS;
+
+/** Sends a request and observes its calls. */
+export class GuardedRequest implements replicas.RequestSender {
+  private fingerprint: string | undefined;
+
+  private running = 0;
+
+  private constructor(
+    private readonly request: replicas.ReplicaRequest,
+    private readonly quarantine: requestQuarantines.RequestQuarantine,
+    private readonly sender: replicas.RequestSender,
+  ) {}
+
+  static create(
+    request: replicas.ReplicaRequest,
+    quarantine: requestQuarantines.RequestQuarantine,
+    sender: replicas.RequestSender,
+  ): GuardedRequest {
+    return new GuardedRequest(request, quarantine, sender);
+  }
+
+  call(...call: Parameters<replicas.RequestSender['call']>): Promise<replicas.CallOutcome> {
+    return this.observe(call[0], () => this.sender.call(...call));
+  }
+
+  stream(...stream: Parameters<replicas.RequestSender['stream']>): Promise<replicas.StreamOutcome> {
+    return this.observe(stream[0], () => this.sender.stream(...stream));
+  }
+
+  /**
+   * The replicas to which the request may be sent now. A suspect request goes to one replica at a
+   * time, and if possible not to one that runs another suspect request.
+   */
+  selectReplicas(
+    candidates: readonly directories.TrackedReplica[],
+  ): readonly directories.TrackedReplica[] {
+    const { state } = this;
+    if (state === decisions.QuarantineState.Clear) return candidates;
+    if (state === decisions.QuarantineState.Quarantined || this.running > 0) return [];
+    const separate = candidates.filter(({ replica }) => !this.quarantine.hasSuspect(replica));
+    return separate.length > 0 ? separate : candidates;
+  }
+
+  /**
+   * The draw between equally good replicas, in [0, 1). That of a suspect request depends on its
+   * fingerprint only, so that it differs from that of another suspect at any gateway.
+   */
+  draw(random: () => number): number {
+    if (this.state === decisions.QuarantineState.Clear) return random();
+    return parseInt(this.getFingerprint().slice(0, DRAW_DIGITS), 16) / DRAW_RANGE;
+  }
+
+  private get state(): decisions.QuarantineState {
+    if (this.quarantine.isEmpty) return decisions.QuarantineState.Clear;
+    return this.quarantine.judge(this.getFingerprint()).state;
+  }
+
+  private getFingerprint(): string {
+    this.fingerprint ??= this.quarantine.computeFingerprint(this.request);
+    return this.fingerprint;
+  }
+
+  private async observe(
+    replica: replicas.Replica,
+    act: () => Promise<replicas.CallOutcome>,
+  ): Promise<replicas.CallOutcome> {
+    const leave = this.quarantine.enter(replica, this.state !== decisions.QuarantineState.Clear);
+    const hadNeighbours = this.quarantine.hasInternalRequests(replica);
+    this.running += 1;
+    const outcome = await act();
+    await this.quarantine.examine(this.request, replica, outcome, hadNeighbours);
+    this.running -= 1;
+    leave();
+    return outcome;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -0,0 +1,170 @@
+/**
+ * Refuses requests of callers that end the replicas which run them, and gathers the evidence for it.
+ * Requests that the gateway owes to a batch job are not subject to it.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as directories from '../replicas/directory';
+import type * as environments from '../types/environment';
+import * as replicas from '../types/replica';
+import type * as evidenceReporters from './evidence-reporter';
+import * as evidenceRows from './evidence-rows';
+import * as fingerprints from './fingerprint';
+import * as guardedRequests from './guarded-request';
+import * as replicaProbes from './replica-probes';
+
+export interface RequestQuarantineOptions {
+  readonly environment: environments.Environment;
+  readonly quarantine: decisions.Quarantine;
+  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'enqueue' | 'settle'>;
+  readonly directory: directories.ReplicaDirectory;
+  readonly replicaClient: replicas.ReplicaClient;
+  readonly storeNowMs: () => number;
+  /** Lower-case names of the headers that identify a caller. */
+  readonly callerHeaders: readonly string[];
+}
+
+/**
+ * How long the answer to a request that was just quarantined waits for the report to be stored, so
+ * that a retry at another gateway is refused.
+ */
+const REPORT_WAIT_MS = 250;
+/** A request is not suspected for answers from this status on. */
+const FIRST_ERROR_STATUS = 500;
+
+/** Applies the quarantine to callers' requests. */
+export class RequestQuarantine {
+  private readonly probes: replicaProbes.ReplicaProbes;
+
+  private readonly callerHeaders: ReadonlySet<string>;
+
+  /** Calls of callers' requests in flight, and suspect ones among them, by replica. */
+  private readonly calls = new Map<string, { total: number; suspects: number }>();
+
+  private constructor(private readonly options: RequestQuarantineOptions) {
+    this.probes = replicaProbes.ReplicaProbes.create(options);
+    this.callerHeaders = new Set(options.callerHeaders);
+    options.environment.metrics.gauge('quarantine_requests', {}, () => options.quarantine.size);
+  }
+
+  static create(options: RequestQuarantineOptions): RequestQuarantine {
+    return new RequestQuarantine(options);
+  }
+
+  /** Whether nothing is under suspicion, so that no fingerprint is needed. */
+  get isEmpty(): boolean {
+    return this.options.quarantine.isEmpty;
+  }
+
+  /** The failure to report instead of sending a quarantined request; undefined for any other. */
+  refuse(request: replicas.ReplicaRequest): decisions.Failure | undefined {
+    if (this.isEmpty) return undefined;
+    const fingerprint = this.computeFingerprint(request);
+    const verdict = this.judge(fingerprint);
+    if (verdict.state !== decisions.QuarantineState.Quarantined) return undefined;
+    const { log, metrics } = this.options.environment;
+    metrics.count('quarantine_refusals');
+    log.info('request quarantined', {
+      request: request.id,
+      fingerprint,
+      endedReplicas: verdict.endedReplicas,
+      ageMs: Math.round(verdict.ageMs),
+    });
+    return decisions.createFailure('request-quarantined', {
+      retryAfterMs: Math.ceil(verdict.remainingMs),
+    });
+  }
+
+  /** Wraps a request that is about to be sent. */
+  guard(request: replicas.ReplicaRequest): guardedRequests.GuardedRequest {
+    return guardedRequests.GuardedRequest.create(request, this, this.options.replicaClient);
+  }
+
+  computeFingerprint(request: replicas.ReplicaRequest): string {
+    return fingerprints.computeFingerprint(request, this.callerHeaders);
+  }
+
+  judge(fingerprint: string): decisions.QuarantineVerdict {
+    return this.options.quarantine.judge(fingerprint);
+  }
+
+  /** Counts a call to a replica; returns a function to be called at its end. */
+  enter(replica: replicas.Replica, isSuspect: boolean): () => void {
+    const count = this.calls.get(replica.id) ?? { total: 0, suspects: 0 };
+    this.calls.set(replica.id, count);
+    const suspects = isSuspect ? 1 : 0;
+    count.total += 1;
+    count.suspects += suspects;
+    return () => {
+      count.total -= 1;
+      count.suspects -= suspects;
+      if (count.total === 0) this.calls.delete(replica.id);
+    };
+  }
+
+  /** Whether a suspect request of this gateway is in flight on a replica. */
+  hasSuspect(replica: replicas.Replica): boolean {
+    return (this.calls.get(replica.id)?.suspects ?? 0) > 0;
+  }
+
+  /** Whether requests without a fingerprint, those of batch jobs, are in flight on a replica. */
+  hasInternalRequests(replica: replicas.Replica): boolean {
+    const inFlight = this.options.directory.get(replica.id)?.inFlight ?? 0;
+    return inFlight > (this.calls.get(replica.id)?.total ?? 0);
+  }
+
+  /** Draws the conclusions from the outcome of a call. */
+  async examine(
+    request: replicas.ReplicaRequest,
+    replica: replicas.Replica,
+    outcome: replicas.CallOutcome,
+    hadNeighbours: boolean,
+  ): Promise<void> {
+    if (outcome.status === replicas.CallStatus.Answered) {
+      if (outcome.answer.status < FIRST_ERROR_STATUS) this.clear(request);
+      return;
+    }
+    if (outcome.isConnectionLost !== true) return;
+    const isSole = !hadNeighbours && !this.hasInternalRequests(replica);
+    if (await this.probes.hasEnded(replica)) await this.incriminate(request, replica, isSole);
+  }
+
+  private async incriminate(
+    request: replicas.ReplicaRequest,
+    replica: replicas.Replica,
+    isSole: boolean,
+  ): Promise<void> {
+    const { environment, quarantine, reporter, storeNowMs } = this.options;
+    const fingerprint = this.computeFingerprint(request);
+    const incarnation = replicaProbes.createIncarnationKey(replica);
+    if (!quarantine.record({ fingerprint, replica: incarnation, isSole, ageMs: 0 })) return;
+    const { state, endedReplicas } = this.judge(fingerprint);
+    environment.metrics.count('quarantine_evidence', { source: 'own' });
+    environment.log.info('replica ended under a request', {
+      request: request.id,
+      fingerprint,
+      replica: incarnation,
+      isSole,
+      endedReplicas,
+      state,
+    });
+    const endedMs = storeNowMs();
+    const row = { fingerprint, replica: incarnation, isSole, endedMs };
+    reporter.enqueue([evidenceRows.encodeEvidence(row)]);
+    if (state === decisions.QuarantineState.Quarantined) await reporter.settle(REPORT_WAIT_MS);
+  }
+
+  private clear(request: replicas.ReplicaRequest): void {
+    const { environment, quarantine, reporter } = this.options;
+    if (quarantine.isEmpty) return;
+    const fingerprint = this.computeFingerprint(request);
+    const cleared = quarantine.clear(fingerprint);
+    if (cleared.length === 0) return;
+    environment.metrics.count('quarantine_cleared');
+    environment.log.info('request cleared', {
+      request: request.id,
+      fingerprint,
+      endedReplicas: cleared.length,
+    });
+    reporter.enqueue(cleared.map((replica) => evidenceRows.locateEvidence(fingerprint, replica)));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/shared-quarantine.ts
@@ -0,0 +1,43 @@
+/**
+ * Wires the quarantine of one gateway: the evidence, its reports to the other gateways and what is
+ * learned from them.
+ */
+import * as decisions from '@azureworks/decisions';
+import type * as directories from '../replicas/directory';
+import type * as environments from '../types/environment';
+import type * as replicas from '../types/replica';
+import type * as stores from '../types/store';
+import * as evidenceReporters from './evidence-reporter';
+import * as evidenceTasks from './evidence-task';
+import * as requestQuarantines from './request-quarantine';
+
+export interface SharedQuarantineOptions {
+  readonly environment: environments.Environment;
+  readonly store: stores.Store;
+  readonly directory: directories.ReplicaDirectory;
+  readonly replicaClient: replicas.ReplicaClient;
+  /** Lower-case names of the headers that identify a caller. */
+  readonly callerHeaders: readonly string[];
+  /** The gateways of which one removes expired rows. */
+  readonly listWorkers: () => readonly { readonly vm: string }[];
+}
+
+/** The parts of a quarantine that other parts of the gateway use. */
+export interface SharedQuarantine {
+  readonly requests: requestQuarantines.RequestQuarantine;
+  readonly evidenceTask: evidenceTasks.EvidenceTask;
+}
+
+export function createSharedQuarantine(options: SharedQuarantineOptions): SharedQuarantine {
+  const { environment, store } = options;
+  const quarantine = decisions.Quarantine.create({ nowMs: environment.nowMs });
+  const reporter = evidenceReporters.EvidenceReporter.create({ environment, store });
+  const requests = requestQuarantines.RequestQuarantine.create({
+    ...options,
+    quarantine,
+    reporter,
+    storeNowMs: () => store.nowMs,
+  });
+  const evidenceTask = evidenceTasks.EvidenceTask.create({ ...options, quarantine, reporter });
+  return { requests, evidenceTask };
+}
--- a/packages/gateway/src/requests/call-context.ts
+++ b/packages/gateway/src/requests/call-context.ts
@@ -6,7 +6,7 @@
 
 /** Dependencies of a call. */
 export interface CallContext {
-  readonly replicaClient: replicas.ReplicaClient;
+  readonly replicaClient: replicas.RequestSender;
   readonly nowMs: () => number;
   /** Chooses a replica that is not in `tried`. */
   readonly chooseReplica: (tried: ReadonlySet<string>) => directories.TrackedReplica | undefined;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -10,6 +10,8 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as placement from '../replicas/placement';
+import type * as guardedRequests from '../quarantine/guarded-request';
+import type * as requestQuarantines from '../quarantine/request-quarantine';
 import * as routeTables from '../configuration/route-table';
 import * as plainCalls from './plain-call';
 import * as streamCalls from './stream-call';
@@ -19,6 +21,7 @@
   readonly configuration: activeConfigurations.ActiveConfiguration;
   readonly directory: directories.ReplicaDirectory;
   readonly replicaClient: replicas.ReplicaClient;
+  readonly quarantine: requestQuarantines.RequestQuarantine;
 }
 
 /** A request that the gateway itself makes. */
@@ -54,11 +57,15 @@
     caller: exchanges.CallerRequest,
     route: configurations.Route,
   ): Promise<exchanges.Reply> {
+    const refusal = this.refuse(caller, route);
+    if (refusal) return refusal;
     const deadlineMs = Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
-    const result = await this.callReplicas(caller, route, {
+    const deadlines = {
       callerDeadlineAtMs: caller.receivedMs + (caller.deadlineMs ?? route.timeoutMs),
       deadlineAtMs: caller.receivedMs + deadlineMs,
-    });
+    };
+    const guard = this.options.quarantine.guard(caller.request);
+    const result = await this.callReplicas(caller, route, deadlines, guard);
     this.recordReply(caller, route, describeReply(result.reply), result.attempts);
     return result.reply;
   }
@@ -69,14 +76,17 @@
     route: configurations.Route,
     replyStream: exchanges.ReplyStream,
   ): Promise<streamCalls.StreamCallResult['reply']> {
-    const { environment, replicaClient } = this.options;
+    const refusal = this.refuse(caller, route);
+    if (refusal) return refusal;
+    const { environment, quarantine } = this.options;
     const { request, signal, afterEvent } = caller;
+    const guard = quarantine.guard(request);
     const service = routeTables.chooseService(route, environment.random());
     const call = streamCalls.StreamCall.create(
       {
-        replicaClient,
+        replicaClient: guard,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, tried),
+        chooseReplica: (tried) => this.chooseReplica(service, tried, guard),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -97,6 +107,16 @@
     return reply;
   }
 
+  private refuse(
+    caller: exchanges.CallerRequest,
+    route: configurations.Route,
+  ): exchanges.Reply | undefined {
+    const failure = this.options.quarantine.refuse(caller.request);
+    if (!failure) return undefined;
+    this.recordReply(caller, route, failure.code, 0);
+    return { kind: 'failure', failure };
+  }
+
   private recordReply(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
@@ -145,14 +165,15 @@
     { request, signal }: Pick<InternalRequest, 'request' | 'signal'>,
     route: configurations.Route,
     deadlines: { readonly callerDeadlineAtMs: number; readonly deadlineAtMs: number },
+    guard?: guardedRequests.GuardedRequest,
   ): Promise<plainCalls.PlainCallResult> {
     const { environment, replicaClient } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     const call = plainCalls.PlainCall.create(
       {
-        replicaClient,
+        replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, tried),
+        chooseReplica: (tried) => this.chooseReplica(service, tried, guard),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -171,14 +192,15 @@
   private chooseReplica(
     service: string | undefined,
     tried: ReadonlySet<string>,
+    guard?: guardedRequests.GuardedRequest,
   ): directories.TrackedReplica | undefined {
     if (service === undefined) return undefined;
     const { environment, directory } = this.options;
-    const candidates = directory
-      .list(service)
-      .filter((tracked) => !tried.has(tracked.replica.id))
-      .map((tracked) => directory.createCandidate(tracked));
-    return placement.choosePlacement(candidates, environment.random())?.tracked;
+    const untried = directory.list(service).filter(({ replica }) => !tried.has(replica.id));
+    const allowed = guard ? guard.selectReplicas(untried) : untried;
+    const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
+    const draw = guard ? guard.draw(environment.random) : environment.random();
+    return placement.choosePlacement(candidates, draw)?.tracked;
   }
 
   private recordOutcome(
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -13,9 +13,19 @@
   onChanges(changes: readonly stores.RowChange[]): void;
 }
 
+/** Passes everything on to several observers, in this order. */
+export function combineObservers(observers: readonly TableObserver[]): TableObserver {
+  return {
+    onSnapshot: (rows) => observers.forEach((observer) => observer.onSnapshot(rows)),
+    onChanges: (changes) => observers.forEach((observer) => observer.onChanges(changes)),
+  };
+}
+
 export interface TableWatchOptions {
   readonly store: stores.Store;
   readonly table: string;
+  /** The partition that is read in full; the changes are those of all partitions. */
+  readonly partition?: string;
   readonly observer: TableObserver;
   readonly log: runtime.Log;
   readonly pause: (durationMs: number) => Promise<void>;
@@ -81,8 +91,8 @@
   }
 
   private async readTable(): Promise<boolean> {
-    const { store, table, observer } = this.options;
-    const outcome = await store.read({ table, partition: '' });
+    const { store, table, partition = '', observer } = this.options;
+    const outcome = await store.read({ table, partition });
     if (outcome.status !== stores.StoreStatus.Done || this.isStopped) return false;
     this.revision = outcome.revision;
     observer.onSnapshot(outcome.rows);
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -93,6 +93,8 @@
       readonly load?: ReplicaLoad | undefined;
       /** Whether the replica was unresponsive: no connection, or no data for too long. */
       readonly isSilent?: boolean;
+      /** Whether the connection was closed or reset before the response was complete. */
+      readonly isConnectionLost?: boolean;
       /** Undefined when the request was not sent. */
       readonly connection?: ConnectionUse | undefined;
     };
@@ -180,8 +182,18 @@
 } as const;
 export type OrderStatus = (typeof OrderStatus)[keyof typeof OrderStatus];
 
-/** Client for calls to replicas. */
-export interface ReplicaClient {
+/** Whether a replica accepts connections. */
+export const ListeningState = {
+  Accepting: 'accepting',
+  /** Nothing listens at its address, but its host answers. */
+  Refusing: 'refusing',
+  /** No response, or an error that does not tell whether it runs. */
+  Unknown: 'unknown',
+} as const;
+export type ListeningState = (typeof ListeningState)[keyof typeof ListeningState];
+
+/** Sends requests to replicas. */
+export interface RequestSender {
   call(replica: Replica, request: ReplicaRequest, options: CallOptions): Promise<CallOutcome>;
   stream(
     replica: Replica,
@@ -189,9 +201,15 @@
     options: StreamOptions,
     receiver: StreamReceiver,
   ): Promise<StreamOutcome>;
+}
+
+/** Client for calls to replicas. */
+export interface ReplicaClient extends RequestSender {
   order(replica: Replica, order: WeightsOrder, deadlineMs: number): Promise<OrderStatus>;
   /** Asks a replica for its state; undefined when it does not answer. */
   fetchReport(replica: Replica, deadlineMs: number): Promise<ReplicaReport | undefined>;
+  /** Opens a new connection to a replica and closes it at once. */
+  probe(replica: Replica, timeoutMs: number): Promise<ListeningState>;
   /** Closes the connections to a removed replica. */
   closeConnections(replica: Replica): void;
   close(): Promise<void>;
