Evidence that proves nothing yet is reported a moment later

What happened: a crash breaks off requests of many gateways, and each gateway wrote a row for each of them at once and removed it when the retry was answered. On a large fleet each row wakes the watch of every gateway, twice for each innocent request.

Change: a row is held back for 150 ms and never written if the request is cleared meanwhile. A verdict writes the whole backlog at once. Without the delay the new check of the cleared request fails.

--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -45,7 +45,7 @@
     const quarantine = requestQuarantines.RequestQuarantine.create({
       environment,
       quarantine: decisions.Quarantine.create({ nowMs: time.nowMs }),
-      reporter: { enqueue: () => {}, settle: () => Promise.resolve() },
+      reporter: { report: () => {}, withdraw: () => {}, flush: () => Promise.resolve() },
       directory,
       replicaClient: replicas,
       storeNowMs: time.nowMs,
--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -160,8 +160,9 @@
     }
   });
 
-  it('is cleared once a replica has answered it', async () => {
+  it('is cleared once a replica has answered it, which costs the store nothing', async () => {
     const [first, second] = await startAll();
+    const transact = jest.spyOn(system.store, 'transact');
     system.replicas.getBehaviour('p2').answerMs = 100;
     system.replicas.getBehaviour('p3').answerMs = 100;
     const reply = send(first, 'innocent');
@@ -170,9 +171,36 @@
     expect(await time.settle(reply)).toMatchObject({ kind: 'answer' });
     await time.advance(1000);
     expect(listEvidence()).toEqual([]);
+    const rows = transact.mock.calls.flatMap(([{ writes, removals }]) => [...writes, ...removals]);
+    expect(rows.map(({ partition }) => partition)).not.toContain(evidenceRows.EVIDENCE_PARTITION);
     expect(await sendAndSettle(second, 'innocent')).toBe('200');
   });
 
+  it('is cleared everywhere if a replica answers it after the evidence was shared', async () => {
+    const [first, second] = await startAll();
+    system.configure(systems.createConfiguration(2, { maximumAttempts: 1 }));
+    await time.advance(1000);
+    await sendAndSettle(first, DEADLY);
+    await time.advance(1000);
+    expect(listEvidence()).toHaveLength(1);
+    system.replicas.deadlyBodies.clear();
+    expect(await sendAndSettle(second, DEADLY)).toBe('200');
+    await time.advance(1000);
+    expect(listEvidence()).toEqual([]);
+  });
+
+  it('is recognised by gateways that see one crash each', async () => {
+    system.configure(systems.createConfiguration(2, { maximumAttempts: 1 }));
+    const gateways = await startAll();
+    for (const entry of [...gateways, ...gateways]) {
+      await sendAndSettle(entry, DEADLY);
+      await time.advance(200);
+    }
+    expect(system.replicas.crashes.length).toBeLessThanOrEqual(3);
+    await time.advance(fakeReplicas.RESTART_MS);
+    expect(await sendAndSettle(gateways[0], DEADLY)).toBe('request-quarantined');
+  });
+
   it('may be sent again once the evidence has expired, and its rows are removed', async () => {
     const [entry] = await startAll();
     await sendAndSettle(entry, DEADLY);
--- a/packages/gateway/src/quarantine/evidence-reporter.ts
+++ b/packages/gateway/src/quarantine/evidence-reporter.ts
@@ -1,6 +1,11 @@
 /**
  * Writes evidence to the store, and removes it when the request was answered.
  *
+ * Load pattern: a replica that crashes breaks off requests of many gateways, and a moment later most
+ * of them are answered by other replicas. Evidence that proves nothing yet is therefore held back for
+ * a short time, and never written if the request is cleared meanwhile: otherwise each of these
+ * requests would cost two transactions and wake the watches of all gateways twice.
+ *
  * The backlog is bounded and keeps one change for each row. Changes that come together share a
  * transaction. A transaction has no conditions, so it may be repeated when its outcome is unknown.
  */
@@ -15,6 +20,15 @@
   readonly store: stores.Store;
 }
 
+interface PendingChange {
+  readonly change: EvidenceChange;
+  dueMs: number;
+  /** Whether a transaction with this change was sent. */
+  isSent: boolean;
+}
+
+/** How long evidence is held back. */
+const HOLD_BACK_MS = 150;
 /** Rows that wait to be changed; the oldest are dropped first. */
 const MAXIMUM_BACKLOG = 512;
 const MAXIMUM_TRANSACTION_ROWS = 50;
@@ -29,91 +43,134 @@
 
 /** Reports evidence of this gateway. */
 export class EvidenceReporter {
-  private readonly backlog = new Map<string, EvidenceChange>();
+  private readonly backlog = new Map<string, PendingChange>();
 
   private readonly waiters = new Set<() => void>();
 
-  private isRunning = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  private isWriting = false;
+
+  private isStopped = false;
+
+  private backoffMs = MINIMUM_BACKOFF_MS;
+
+  private notBeforeMs = -Infinity;
 
   private tokens = BURST_TRANSACTIONS;
 
   private tokensUpdatedMs = -Infinity;
 
-  private isStopped = false;
-
   private constructor(private readonly options: EvidenceReporterOptions) {}
 
   static create(options: EvidenceReporterOptions): EvidenceReporter {
     return new EvidenceReporter(options);
   }
 
-  enqueue(changes: readonly EvidenceChange[]): void {
-    changes.forEach((change) => {
-      this.backlog.delete(change.key);
-      this.backlog.set(change.key, change);
+  /** Reports evidence soon, unless it is withdrawn before. */
+  report(row: stores.RowWrite): void {
+    this.add(row, HOLD_BACK_MS);
+  }
+
+  /** Removes rows; those that were not written yet need no transaction. */
+  withdraw(rows: readonly stores.RowAddress[]): void {
+    rows.forEach((row) => {
+      const pending = this.backlog.get(row.key);
+      if (pending?.isSent === false) this.backlog.delete(row.key);
+      else this.add(row, 0);
     });
-    this.limitBacklog();
-    if (this.backlog.size > 0 && !this.isRunning) this.run();
   }
 
-  /** Waits until the backlog has been written, or for `limitMs`. */
-  async settle(limitMs: number): Promise<void> {
-    if (this.backlog.size === 0) return;
+  /** Writes the whole backlog now; resolves when it is written, or after `limitMs`. */
+  async flush(limitMs: number): Promise<void> {
+    const nowMs = this.options.environment.nowMs();
+    this.backlog.forEach((pending) => {
+      pending.dueMs = Math.min(pending.dueMs, nowMs);
+    });
+    if (!this.hasDue()) return;
+    this.schedule();
     let resume = (): void => {};
-    const settled = new Promise<void>((resolve) => {
+    const written = new Promise<void>((resolve) => {
       resume = resolve;
       this.waiters.add(resolve);
     });
-    await Promise.race([settled, this.options.environment.pause(limitMs)]);
+    await Promise.race([written, this.options.environment.pause(limitMs)]);
     this.waiters.delete(resume);
   }
 
   stop(): void {
     this.isStopped = true;
+    clearTimeout(this.timer);
     this.release();
   }
 
-  private async run(): Promise<void> {
-    const { pause, random, metrics } = this.options.environment;
-    this.isRunning = true;
-    let backoffMs = MINIMUM_BACKOFF_MS;
-    while (this.backlog.size > 0 && !this.isStopped) {
-      await pause(Math.max(COLLECT_MS, this.takeToken()));
-      const status = await this.writeNext();
-      metrics.count('quarantine_reports', { outcome: status });
-      if (this.backlog.size === 0) this.release();
-      if (status === stores.StoreStatus.Done) backoffMs = MINIMUM_BACKOFF_MS;
-      else {
-        await pause(backoffMs * (0.5 + random()));
-        backoffMs = Math.min(MAXIMUM_BACKOFF_MS, backoffMs * 2);
-      }
-    }
-    this.isRunning = false;
+  private add(change: EvidenceChange, delayMs: number): void {
+    const dueMs = this.options.environment.nowMs() + delayMs;
+    this.backlog.delete(change.key);
+    this.backlog.set(change.key, { change, dueMs, isSent: false });
+    this.limitBacklog();
+    this.schedule();
   }
 
-  /** Takes a token; returns how long to wait until it is there, in milliseconds. */
-  private takeToken(): number {
-    const nowMs = this.options.environment.nowMs();
-    const refill = (nowMs - this.tokensUpdatedMs) / TRANSACTION_INTERVAL_MS;
-    this.tokens = Math.min(BURST_TRANSACTIONS, this.tokens + refill) - 1;
-    this.tokensUpdatedMs = nowMs;
-    return this.tokens >= 0 ? 0 : -this.tokens * TRANSACTION_INTERVAL_MS;
+  private schedule(): void {
+    if (this.isWriting || this.isStopped) return;
+    clearTimeout(this.timer);
+    if (this.backlog.size === 0) return;
+    const dueMs = Math.min(...[...this.backlog.values()].map((pending) => pending.dueMs));
+    const waitMs = Math.max(dueMs, this.notBeforeMs) - this.options.environment.nowMs();
+    this.timer = setTimeout(() => this.write(), Math.max(COLLECT_MS, waitMs));
   }
 
-  private async writeNext(): Promise<stores.StoreStatus> {
-    const changes = [...this.backlog.values()].slice(0, MAXIMUM_TRANSACTION_ROWS);
+  private async write(): Promise<void> {
+    const { nowMs, random, metrics } = this.options.environment;
+    this.isWriting = true;
+    const status = await this.writeDue();
+    metrics.count('quarantine_reports', { outcome: status });
+    const isDone = status === stores.StoreStatus.Done;
+    const backoffMs = isDone ? 0 : this.backoffMs * (0.5 + random());
+    this.backoffMs = isDone ? MINIMUM_BACKOFF_MS : Math.min(MAXIMUM_BACKOFF_MS, this.backoffMs * 2);
+    this.notBeforeMs = nowMs() + Math.max(backoffMs, this.takeToken());
+    this.isWriting = false;
+    if (!this.hasDue()) this.release();
+    this.schedule();
+  }
+
+  private async writeDue(): Promise<stores.StoreStatus> {
+    const nowMs = this.options.environment.nowMs();
+    const due = [...this.backlog.values()]
+      .filter((pending) => pending.dueMs <= nowMs)
+      .slice(0, MAXIMUM_TRANSACTION_ROWS);
+    if (due.length === 0) return stores.StoreStatus.Done;
+    due.forEach((pending) => {
+      pending.isSent = true;
+    });
+    const changes = due.map(({ change }) => change);
     const outcome = await this.options.store.transact({
       conditions: [],
       writes: changes.flatMap(({ value, ...row }) => (value ? [{ ...row, value }] : [])),
       removals: changes.flatMap(({ value, ...row }) => (value ? [] : [row])),
     });
     if (outcome.status === stores.StoreStatus.Done) {
-      const written = changes.filter((change) => this.backlog.get(change.key) === change);
-      written.forEach((change) => this.backlog.delete(change.key));
+      const written = due.filter((pending) => this.backlog.get(pending.change.key) === pending);
+      written.forEach((pending) => this.backlog.delete(pending.change.key));
     }
     return outcome.status;
   }
 
+  private hasDue(): boolean {
+    const nowMs = this.options.environment.nowMs();
+    return [...this.backlog.values()].some((pending) => pending.dueMs <= nowMs);
+  }
+
+  /** Takes a token; returns how long to wait for the next transaction, in milliseconds. */
+  private takeToken(): number {
+    const nowMs = this.options.environment.nowMs();
+    const refill = (nowMs - this.tokensUpdatedMs) / TRANSACTION_INTERVAL_MS;
+    this.tokens = Math.min(BURST_TRANSACTIONS, this.tokens + refill) - 1;
+    this.tokensUpdatedMs = nowMs;
+    return this.tokens >= 1 ? 0 : (1 - this.tokens) * TRANSACTION_INTERVAL_MS;
+  }
+
   private limitBacklog(): void {
     const excess = [...this.backlog.keys()].slice(
       0,
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -15,7 +15,7 @@
 export interface RequestQuarantineOptions {
   readonly environment: environments.Environment;
   readonly quarantine: decisions.Quarantine;
-  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'enqueue' | 'settle'>;
+  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'report' | 'withdraw' | 'flush'>;
   readonly directory: directories.ReplicaDirectory;
   readonly replicaClient: replicas.ReplicaClient;
   readonly storeNowMs: () => number;
@@ -149,8 +149,8 @@
     });
     const endedMs = storeNowMs();
     const row = { fingerprint, replica: incarnation, isSole, endedMs };
-    reporter.enqueue([evidenceRows.encodeEvidence(row)]);
-    if (state === decisions.QuarantineState.Quarantined) await reporter.settle(REPORT_WAIT_MS);
+    reporter.report(evidenceRows.encodeEvidence(row));
+    if (state === decisions.QuarantineState.Quarantined) await reporter.flush(REPORT_WAIT_MS);
   }
 
   private clear(request: replicas.ReplicaRequest): void {
@@ -165,6 +165,6 @@
       fingerprint,
       endedReplicas: cleared.length,
     });
-    reporter.enqueue(cleared.map((replica) => evidenceRows.locateEvidence(fingerprint, replica)));
+    reporter.withdraw(cleared.map((replica) => evidenceRows.locateEvidence(fingerprint, replica)));
   }
 }
