Quarantine: the request that explains most ends of replicas is recognised after two

Change: a replica counts in full against a request under which more replicas ended than under any other that ran there, instead of only against a request that was alone. It stays a function of the set of evidence, so the order of reports does not matter. As many ends for two requests count less for both, as before.

--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -7,9 +7,9 @@
  * nothing; only the request that causes them is present at crash after crash.
  *
  * The evidence is a set of pairs of a request and a replica that ended under it. Merging is a union,
- * so reports may arrive in any order and more than once. A replica that ended under a single request
- * counts for more than one that ended under several. A request that was answered is cleared, which
- * leaves its former neighbours as the only ones that may have ended the replica.
+ * so reports may arrive in any order and more than once. A replica counts for more against the request
+ * that explains most ends of replicas among those that ran there. A request that was answered is
+ * cleared, and explains none.
  */
 import type * as clocks from '../types/clock';
 
@@ -51,10 +51,10 @@
 const MAXIMUM_FINGERPRINTS = 4096;
 /** Replicas that are remembered for one request. */
 const MAXIMUM_REPLICAS = 16;
-/** Weight of a replica that ended under several requests: three of them are required. */
-const SHARED_WEIGHT = 2;
-/** Weight of a replica that ended under this request only: two of them suffice. */
-const SOLE_WEIGHT = 3;
+/** Weight of a replica whose end others may explain as well: three of them are required. */
+const AMBIGUOUS_WEIGHT = 2;
+/** Weight of a replica whose end this request explains best: two of them suffice. */
+const EXPLAINED_WEIGHT = 3;
 const WEIGHT_LIMIT = 6;
 
 interface Evidence {
@@ -126,7 +126,7 @@
     const replicas = [...(this.evidence.get(fingerprint) ?? [])];
     const weight = replicas
       .map(([replica, { isSole }]) =>
-        isSole && this.fingerprints.get(replica)?.size === 1 ? SOLE_WEIGHT : SHARED_WEIGHT,
+        isSole && this.explainsBest(fingerprint, replica) ? EXPLAINED_WEIGHT : AMBIGUOUS_WEIGHT,
       )
       .reduce((sum, replicaWeight) => sum + replicaWeight, 0);
     const newestMs = Math.max(...replicas.map(([, { endedMs }]) => endedMs));
@@ -144,6 +144,16 @@
     [...this.evidence.keys()].forEach((fingerprint) => this.expire(fingerprint));
   }
 
+  /** Whether more replicas ended under a request than under any other that ran on this replica. */
+  private explainsBest(fingerprint: string, replica: string): boolean {
+    const others = [...(this.fingerprints.get(replica) ?? [])].filter(
+      (other) => other !== fingerprint,
+    );
+    others.forEach((other) => this.expire(other));
+    const count = (candidate: string): number => this.evidence.get(candidate)?.size ?? 0;
+    return others.every((other) => count(other) < count(fingerprint));
+  }
+
   private expire(fingerprint: string): void {
     const oldestMs = this.clock.nowMs() - QUARANTINE_EVIDENCE_LIFETIME_MS;
     [...(this.evidence.get(fingerprint) ?? [])]
