Quarantine: items beside a request do not make its crashes count less

Cause: the evidence said whether requests without a fingerprint ran beside it.

Change: that part of the evidence goes.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -7,18 +7,16 @@
 interface Report {
   readonly fingerprint: string;
   readonly replica: string;
-  readonly isSole: boolean;
   readonly ageMs: number;
 }
 
 function report(fingerprint: string, replica: string, options: Partial<Report> = {}): Report {
-  return { fingerprint, replica, isSole: true, ageMs: 0, ...options };
+  return { fingerprint, replica, ageMs: 0, ...options };
 }
 
 const reportArbitrary = fastCheck.record({
   fingerprint: fastCheck.constantFrom('a', 'b', 'c', 'd'),
   replica: fastCheck.constantFrom('r1', 'r2', 'r3', 'r4', 'r5'),
-  isSole: fastCheck.boolean(),
   ageMs: fastCheck.integer({ min: 0, max: LIFETIME_MS + 1000 }),
 });
 
@@ -35,18 +33,18 @@
     return quarantine.judge(fingerprint).state;
   }
 
-  it('requires two replicas that ended under no other request, or three beside requests without fingerprint', () => {
+  it('requires two replicas that ended under no other request, or three that all others share', () => {
     quarantine.record(report('sole', 'r1'));
     expect(judge('sole')).toBe(QuarantineState.Suspect);
     quarantine.record(report('sole', 'r2'));
     expect(judge('sole')).toBe(QuarantineState.Quarantined);
-    ['r3', 'r4'].forEach((replica) =>
-      quarantine.record(report('shared', replica, { isSole: false })),
-    );
-    expect(judge('shared')).toBe(QuarantineState.Suspect);
-    quarantine.record(report('shared', 'r5', { isSole: false }));
-    expect(judge('shared')).toBe(QuarantineState.Quarantined);
-    expect(judge('other')).toBe(QuarantineState.Clear);
+    const record = (replica: string): void =>
+      ['one', 'other'].forEach((name) => quarantine.record(report(name, replica)));
+    ['r3', 'r4'].forEach(record);
+    expect(judge('one')).toBe(QuarantineState.Suspect);
+    record('r5');
+    expect(judge('one')).toBe(QuarantineState.Quarantined);
+    expect(judge('unknown')).toBe(QuarantineState.Clear);
   });
 
   it('blames the request that explains most ends, and none of several that explain as many', () => {
--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -19,8 +19,6 @@
   readonly fingerprint: string;
   /** Identifies one incarnation of the replica. */
   readonly replica: string;
-  /** Whether no request without a fingerprint is known to have run beside it. */
-  readonly isSole: boolean;
   /** Time since the replica ended. */
   readonly ageMs: number;
 }
@@ -57,15 +55,10 @@
 const EXPLAINED_WEIGHT = 3;
 const WEIGHT_LIMIT = 6;
 
-interface Evidence {
-  isSole: boolean;
-  endedMs: number;
-}
-
 /** The evidence that one process knows, its own and that of others. */
 export class Quarantine {
-  /** By fingerprint, in the order of the last change, and by replica. */
-  private readonly evidence = new Map<string, Map<string, Evidence>>();
+  /** When replicas ended: by fingerprint, in the order of the last change, and by replica. */
+  private readonly evidence = new Map<string, Map<string, number>>();
 
   private readonly fingerprints = new Map<string, Set<string>>();
 
@@ -86,15 +79,12 @@
   }
 
   /** Adds evidence; returns false if it was known. */
-  record({ fingerprint, replica, isSole, ageMs }: EndedReplica): boolean {
+  record({ fingerprint, replica, ageMs }: EndedReplica): boolean {
     if (ageMs >= QUARANTINE_EVIDENCE_LIFETIME_MS) return false;
-    const replicas = this.evidence.get(fingerprint) ?? new Map<string, Evidence>();
+    const replicas = this.evidence.get(fingerprint) ?? new Map<string, number>();
     const known = replicas.get(replica);
     const endedMs = this.clock.nowMs() - ageMs;
-    replicas.set(replica, {
-      isSole: isSole && (known?.isSole ?? true),
-      endedMs: Math.max(endedMs, known?.endedMs ?? -Infinity),
-    });
+    replicas.set(replica, Math.max(endedMs, known ?? -Infinity));
     this.evidence.delete(fingerprint);
     this.evidence.set(fingerprint, replicas);
     const neighbours = this.fingerprints.get(replica) ?? new Set<string>();
@@ -125,11 +115,11 @@
     this.expire(fingerprint);
     const replicas = [...(this.evidence.get(fingerprint) ?? [])];
     const weight = replicas
-      .map(([replica, { isSole }]) =>
-        isSole && this.explainsBest(fingerprint, replica) ? EXPLAINED_WEIGHT : AMBIGUOUS_WEIGHT,
+      .map(([replica]) =>
+        this.explainsBest(fingerprint, replica) ? EXPLAINED_WEIGHT : AMBIGUOUS_WEIGHT,
       )
       .reduce((sum, replicaWeight) => sum + replicaWeight, 0);
-    const newestMs = Math.max(...replicas.map(([, { endedMs }]) => endedMs));
+    const newestMs = Math.max(...replicas.map(([, endedMs]) => endedMs));
     const ageMs = replicas.length === 0 ? 0 : Math.max(0, this.clock.nowMs() - newestMs);
     return {
       state: chooseState(weight),
@@ -157,15 +147,15 @@
   private expire(fingerprint: string): void {
     const oldestMs = this.clock.nowMs() - QUARANTINE_EVIDENCE_LIFETIME_MS;
     [...(this.evidence.get(fingerprint) ?? [])]
-      .filter(([, { endedMs }]) => endedMs <= oldestMs)
+      .filter(([, endedMs]) => endedMs <= oldestMs)
       .forEach(([replica]) => this.withdraw(fingerprint, replica));
   }
 
-  private limitMemory(fingerprint: string, replicas: ReadonlyMap<string, Evidence>): void {
+  private limitMemory(fingerprint: string, replicas: ReadonlyMap<string, number>): void {
     if (replicas.size > MAXIMUM_REPLICAS) {
       const [oldest] = [...replicas].sort(
-        ([firstReplica, first], [secondReplica, second]) =>
-          first.endedMs - second.endedMs || (firstReplica < secondReplica ? -1 : 1),
+        ([firstReplica, firstMs], [secondReplica, secondMs]) =>
+          firstMs - secondMs || (firstReplica < secondReplica ? -1 : 1),
       );
       if (oldest) this.withdraw(fingerprint, oldest[0]);
     }
--- a/packages/gateway/src/quarantine/evidence-rows.ts
+++ b/packages/gateway/src/quarantine/evidence-rows.ts
@@ -26,7 +26,6 @@
 export interface StoredEvidence {
   readonly fingerprint: string;
   readonly replica: string;
-  readonly isSole: boolean;
   readonly endedMs: number;
 }
 
@@ -38,8 +37,8 @@
 }
 
 export function encodeEvidence(evidence: StoredEvidence): stores.RowWrite {
-  const { fingerprint, replica, isSole, endedMs } = evidence;
-  const value = Buffer.from(JSON.stringify({ replica, isSole, endedMs: Math.round(endedMs) }));
+  const { fingerprint, replica, endedMs } = evidence;
+  const value = Buffer.from(JSON.stringify({ replica, endedMs: Math.round(endedMs) }));
   return { ...locateEvidence(fingerprint, replica), value };
 }
 
@@ -49,9 +48,9 @@
   if (!FINGERPRINT_PATTERN.test(fingerprint)) return undefined;
   try {
     const value = JSON.parse(row.value.toString()) as Partial<StoredEvidence>;
-    const { replica, isSole, endedMs } = value;
+    const { replica, endedMs } = value;
     if (typeof replica !== 'string' || typeof endedMs !== 'number') return undefined;
-    return { fingerprint, replica, isSole: isSole === true, endedMs };
+    return { fingerprint, replica, endedMs };
   } catch {
     // A row that is not JSON was not written by a gateway.
     return undefined;
@@ -60,8 +59,8 @@
 
 /** Converts stored evidence to what this process records. */
 export function toEndedReplica(
-  { fingerprint, replica, isSole, endedMs }: StoredEvidence,
+  { fingerprint, replica, endedMs }: StoredEvidence,
   storeNowMs: number,
 ): decisions.EndedReplica {
-  return { fingerprint, replica, isSole, ageMs: Math.max(0, storeNowMs - endedMs) };
+  return { fingerprint, replica, ageMs: Math.max(0, storeNowMs - endedMs) };
 }
--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -76,11 +76,11 @@
     replica: replicas.Replica,
     act: () => Promise<replicas.CallOutcome>,
   ): Promise<replicas.CallOutcome> {
-    const leave = this.quarantine.enter(replica, this.state !== decisions.QuarantineState.Clear);
-    const hadNeighbours = this.quarantine.hasInternalRequests(replica);
+    const isSuspect = this.state !== decisions.QuarantineState.Clear;
+    const leave = isSuspect ? this.quarantine.enterSuspect(replica) : () => {};
     this.running += 1;
     const outcome = await act();
-    await this.quarantine.examine(this.request, replica, outcome, hadNeighbours);
+    await this.quarantine.examine(this.request, replica, outcome);
     this.running -= 1;
     leave();
     return outcome;
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -37,8 +37,8 @@
 
   private readonly callerHeaders: ReadonlySet<string>;
 
-  /** Calls of callers' requests in flight, and suspect ones among them, by replica. */
-  private readonly calls = new Map<string, { total: number; suspects: number }>();
+  /** Number of calls of suspect requests in flight, by replica. */
+  private readonly suspects = new Map<string, number>();
 
   private constructor(private readonly options: RequestQuarantineOptions) {
     this.probes = replicaProbes.ReplicaProbes.create(options);
@@ -87,29 +87,20 @@
     return this.options.quarantine.judge(fingerprint);
   }
 
-  /** Counts a call to a replica; returns a function to be called at its end. */
-  enter(replica: replicas.Replica, isSuspect: boolean): () => void {
-    const count = this.calls.get(replica.id) ?? { total: 0, suspects: 0 };
-    this.calls.set(replica.id, count);
-    const suspects = isSuspect ? 1 : 0;
-    count.total += 1;
-    count.suspects += suspects;
+  /** Counts a call of a suspect request; returns a function to be called at its end. */
+  enterSuspect(replica: replicas.Replica): () => void {
+    const { id } = replica;
+    this.suspects.set(id, (this.suspects.get(id) ?? 0) + 1);
     return () => {
-      count.total -= 1;
-      count.suspects -= suspects;
-      if (count.total === 0) this.calls.delete(replica.id);
+      const remaining = (this.suspects.get(id) ?? 0) - 1;
+      if (remaining > 0) this.suspects.set(id, remaining);
+      else this.suspects.delete(id);
     };
   }
 
   /** Whether a suspect request of this gateway is in flight on a replica. */
   hasSuspect(replica: replicas.Replica): boolean {
-    return (this.calls.get(replica.id)?.suspects ?? 0) > 0;
-  }
-
-  /** Whether requests without a fingerprint, those of batch jobs, are in flight on a replica. */
-  hasInternalRequests(replica: replicas.Replica): boolean {
-    const inFlight = this.options.directory.get(replica.id)?.inFlight ?? 0;
-    return inFlight > (this.calls.get(replica.id)?.total ?? 0);
+    return this.suspects.has(replica.id);
   }
 
   /** Draws the conclusions from the outcome of a call. */
@@ -117,38 +108,34 @@
     request: replicas.ReplicaRequest,
     replica: replicas.Replica,
     outcome: replicas.CallOutcome,
-    hadNeighbours: boolean,
   ): Promise<void> {
     if (outcome.status === replicas.CallStatus.Answered) {
       if (outcome.answer.status < FIRST_ERROR_STATUS) this.clear(request);
       return;
     }
     if (outcome.isConnectionLost !== true) return;
-    const isSole = !hadNeighbours && !this.hasInternalRequests(replica);
-    if (await this.probes.hasEnded(replica)) await this.incriminate(request, replica, isSole);
+    if (await this.probes.hasEnded(replica)) await this.incriminate(request, replica);
   }
 
   private async incriminate(
     request: replicas.ReplicaRequest,
     replica: replicas.Replica,
-    isSole: boolean,
   ): Promise<void> {
     const { environment, quarantine, reporter, storeNowMs } = this.options;
     const fingerprint = this.computeFingerprint(request);
     const incarnation = replicaProbes.createIncarnationKey(replica);
-    if (!quarantine.record({ fingerprint, replica: incarnation, isSole, ageMs: 0 })) return;
+    if (!quarantine.record({ fingerprint, replica: incarnation, ageMs: 0 })) return;
     const { state, endedReplicas } = this.judge(fingerprint);
     environment.metrics.count('quarantine_evidence', { source: 'own' });
     environment.log.info('replica ended under a request', {
       request: request.id,
       fingerprint,
       replica: incarnation,
-      isSole,
       endedReplicas,
       state,
     });
     const endedMs = storeNowMs();
-    const row = { fingerprint, replica: incarnation, isSole, endedMs };
+    const row = { fingerprint, replica: incarnation, endedMs };
     reporter.report(evidenceRows.encodeEvidence(row));
     if (state === decisions.QuarantineState.Quarantined) await reporter.flush(REPORT_WAIT_MS);
   }
