Quarantine: calls of one request that end together count once

What happened: an innocent request that was hedged, and so in flight on two replicas that something else ended at the same moment, was refused for ten minutes.

Cause: both ends counted, although they may have one common cause.

Change: of calls of one request that run at the same time and lose their connections within 50 ms, the first counts. A deadly request reaches the next replica by its retry.

--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -4,31 +4,41 @@
  */
 import * as decisions from '@azureworks/decisions';
 import type * as directories from '../replicas/directory';
-import type * as replicas from '../types/replica';
+import * as replicas from '../types/replica';
 import type * as requestQuarantines from './request-quarantine';
 
 /** Hexadecimal digits of the fingerprint that place a suspect request. */
 const DRAW_DIGITS = 8;
 const DRAW_RANGE = 16 ** DRAW_DIGITS;
 
+/**
+ * Calls of one request that run at the same time and lose their connections within this time may have
+ * lost them for a common reason, such as a power failure: they count as one.
+ */
+const COMMON_CAUSE_MS = 50;
+
 /** Sends a request and observes its calls. */
 export class GuardedRequest implements replicas.RequestSender {
   private fingerprint: string | undefined;
 
   private running = 0;
 
+  private lastLossMs = -Infinity;
+
   private constructor(
     private readonly request: replicas.ReplicaRequest,
     private readonly quarantine: requestQuarantines.RequestQuarantine,
     private readonly sender: replicas.RequestSender,
+    private readonly nowMs: () => number,
   ) {}
 
   static create(
     request: replicas.ReplicaRequest,
     quarantine: requestQuarantines.RequestQuarantine,
     sender: replicas.RequestSender,
+    nowMs: () => number,
   ): GuardedRequest {
-    return new GuardedRequest(request, quarantine, sender);
+    return new GuardedRequest(request, quarantine, sender, nowMs);
   }
 
   call(...call: Parameters<replicas.RequestSender['call']>): Promise<replicas.CallOutcome> {
@@ -72,15 +82,28 @@
     return this.fingerprint;
   }
 
+  private isRepeatedLoss(outcome: replicas.CallOutcome, startMs: number): boolean {
+    const isLost =
+      outcome.status === replicas.CallStatus.Broken && outcome.isConnectionLost === true;
+    if (!isLost) return false;
+    const isRepeated =
+      startMs < this.lastLossMs && this.nowMs() - this.lastLossMs < COMMON_CAUSE_MS;
+    if (!isRepeated) this.lastLossMs = this.nowMs();
+    return isRepeated;
+  }
+
   private async observe(
     replica: replicas.Replica,
     act: () => Promise<replicas.CallOutcome>,
   ): Promise<replicas.CallOutcome> {
     const isSuspect = this.state !== decisions.QuarantineState.Clear;
     const leave = isSuspect ? this.quarantine.enterSuspect(replica) : () => {};
+    const startMs = this.nowMs();
     this.running += 1;
     const outcome = await act();
-    await this.quarantine.examine(this.request, replica, outcome);
+    if (!this.isRepeatedLoss(outcome, startMs)) {
+      await this.quarantine.examine(this.request, replica, outcome);
+    }
     this.running -= 1;
     leave();
     return outcome;
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -76,7 +76,8 @@
 
   /** Wraps a request that is about to be sent. */
   guard(request: replicas.ReplicaRequest): guardedRequests.GuardedRequest {
-    return guardedRequests.GuardedRequest.create(request, this, this.options.replicaClient);
+    const { environment, replicaClient } = this.options;
+    return guardedRequests.GuardedRequest.create(request, this, replicaClient, environment.nowMs);
   }
 
   computeFingerprint(request: replicas.ReplicaRequest): string {
