Failing test: replicas that end together put an innocent request into quarantine

A request that is in flight on two replicas, since it was hedged, is taken for one that crashes replicas when something else ends both at the same moment: two ends that no other request explains suffice.

--- a/packages/gateway/__tests__/crashing-requests.test.ts
+++ b/packages/gateway/__tests__/crashing-requests.test.ts
@@ -170,4 +170,21 @@
       job.items.map(() => 'completed'),
     );
   });
+
+  it('is not taken for one whose replicas were ended together by something else', async () => {
+    const callers = new Callers(gateways);
+    REPLICAS.forEach((id) => {
+      system.replicas.getBehaviour(id).answerMs = 300;
+    });
+    // The first replica is slow, so the request also runs on a second one when both are ended.
+    const reply = callers.send('other');
+    await time.advance(150);
+    const running = system.replicas.calls.map((call) => call.replica);
+    expect(running).toHaveLength(2);
+    running.forEach((id) => system.replicas.crash(id));
+    await time.settle(reply);
+    await time.advance(STABLE_WINDOW_MS);
+    expect(await time.settle(callers.send('other'))).toBe('200');
+    expect(await time.settle(callers.send('other'))).toBe('200');
+  });
 });
