Evidence that was written and removed within one answer of the store is not learned

Cause: of the changes in one answer, removals were applied before writes, so that evidence which had been withdrawn at once was learned for its whole lifetime: an innocent request stayed a suspect.

Change: the last change of each row counts.

--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -73,9 +73,10 @@
     const relevant = changes.filter(
       ({ partition }) => partition === evidenceRows.EVIDENCE_PARTITION,
     );
-    if (relevant.length === 0) return;
-    relevant.filter((change) => change.isRemoved).forEach((change) => this.forget(change.key));
-    this.learn(relevant.filter((change) => !change.isRemoved));
+    // The last change of a row counts; one answer of the store may hold several of them.
+    const latest = [...new Map(relevant.map((change) => [change.key, change])).values()];
+    latest.filter((change) => change.isRemoved).forEach((change) => this.forget(change.key));
+    this.learn(latest.filter((change) => !change.isRemoved));
   }
 
   private learn(rows: readonly stores.Row[]): void {
