--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -223,6 +223,22 @@
     for (const entry of gateways) expect(await sendAndSettle(entry, DEADLY)).toBe('200');
   });
 
+  it('is refused as a stream, too', async () => {
+    const configuration = systems.createConfiguration(2);
+    const [, plain] = configuration.routes;
+    const routes = [{ ...plain, kind: gateway.RouteKind.Streaming }];
+    system.configure({ ...configuration, routes });
+    const [first, second] = await startAll();
+    expect(await sendAndSettle(first, 'innocent')).toBe('streamed');
+    expect(await sendAndSettle(first, DEADLY)).toBe('target-failed');
+    expect(await sendAndSettle(second, DEADLY)).toBe('target-failed');
+    await time.advance(fakeReplicas.RESTART_MS);
+    expect(await sendAndSettle(first, DEADLY)).toBe('request-quarantined');
+    expect(await sendAndSettle(second, DEADLY)).toBe('request-quarantined');
+    expect(system.replicas.crashes).toHaveLength(2);
+    expect(await sendAndSettle(second, 'innocent')).toBe('streamed');
+  });
+
   describe('compared with a request on a replica that did not crash', () => {
     async function breakOff(interrupt: (replica: string) => void): Promise<void> {
       const [entry] = await startAll();
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -124,6 +124,15 @@
     setTimeout(() => this.onRestart(id), RESTART_MS);
   }
 
+  private async crashIfDeadly(
+    replica: gateway.Replica,
+    request: gateway.ReplicaRequest,
+  ): Promise<void> {
+    if (!this.deadlyBodies.has(request.body.toString())) return;
+    await time.pause(this.getBehaviour(replica.id).answerMs);
+    if (!this.isDown(replica.id)) this.crash(replica.id);
+  }
+
   private isDown(id: string): boolean {
     return time.nowMs() < (this.downUntilMs.get(id) ?? 0);
   }
@@ -149,10 +158,7 @@
     options: gateway.CallOptions,
   ): Promise<gateway.CallOutcome> {
     const behaviour = this.getBehaviour(replica.id);
-    if (this.deadlyBodies.has(request.body.toString())) {
-      await time.pause(behaviour.answerMs);
-      if (!this.isDown(replica.id)) this.crash(replica.id);
-    }
+    await this.crashIfDeadly(replica, request);
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
       return { status: CallStatus.NotRun, reason: 'status 503' };
@@ -172,6 +178,19 @@
   }
 
   async stream(
+    ...stream: Parameters<gateway.ReplicaClient['stream']>
+  ): Promise<gateway.StreamOutcome> {
+    const [replica] = stream;
+    if (this.isDown(replica.id)) {
+      return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
+    }
+    const connection = this.connect(replica.id);
+    const outcome = await Promise.race([connection.lost, this.runStream(...stream)]);
+    connection.close();
+    return outcome;
+  }
+
+  private async runStream(
     replica: gateway.Replica,
     request: gateway.ReplicaRequest,
     options: gateway.StreamOptions,
@@ -185,6 +204,8 @@
     }
     const startedMs = time.nowMs();
     this.runs.push({ replica: replica.id, itemId: request.id, afterEvent, startedMs });
+    await this.crashIfDeadly(replica, request);
+    if (this.isDown(replica.id)) return { status: CallStatus.Broken, reason: 'ECONNRESET' };
     if (behaviour.isSilent) {
       const isAborted = await pauseUnlessAborted(options.firstEventTimeoutMs, options.signal);
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
@@ -204,6 +225,7 @@
       if (await pauseUnlessAborted(behaviour.eventMs, options.signal)) {
         return { status: CallStatus.Cancelled, reason: 'aborted' };
       }
+      if (this.isDown(replica.id)) return { status: CallStatus.Broken, reason: 'ECONNRESET' };
       const isSilentNow = this.getBehaviour(replica.id).isSilent;
       if (isSilentNow) {
         await pauseUnlessAborted(options.idleTimeoutMs, options.signal);
