Failing test: an innocent request is quarantined when its two replicas end one after the other

Cause, found in review: two ended replicas suffice where no other request is known to have run beside it. A request that is sent to a second replica just before that one is ended by something else, too, looks the same as one that ended both, and nothing clears it, as it is not sent again while the evidence lasts.

Tried and reverted: ends within 50 ms of each other counting as one cause.

Measured: fails ('request-quarantined' for up to ten minutes).

--- a/packages/gateway/__tests__/crashing-requests.test.ts
+++ b/packages/gateway/__tests__/crashing-requests.test.ts
@@ -187,4 +187,22 @@
     expect(await time.settle(callers.send('other'))).toBe('200');
     expect(await time.settle(callers.send('other'))).toBe('200');
   });
+
+  it('is not taken for one whose second replica was ended by something else shortly after its first', async () => {
+    const callers = new Callers(gateways);
+    REPLICAS.forEach((id) => {
+      system.replicas.getBehaviour(id).answerMs = 300;
+    });
+    const reply = callers.send('other');
+    await time.advance(20);
+    const [first] = system.replicas.calls;
+    system.replicas.crash(first?.replica ?? '');
+    await time.advance(20);
+    const [, second] = system.replicas.calls;
+    expect(second).toBeDefined();
+    system.replicas.crash(second?.replica ?? '');
+    await time.settle(reply);
+    await time.advance(STABLE_WINDOW_MS);
+    expect(await time.settle(callers.send('other'))).toBe('200');
+  });
 });
