Only an answer signed by its replica clears a request

Cause, found in review: a 4xx without the replica's signature, which may come without the request having run, withdrew the evidence against a request at every gateway.

--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -111,7 +111,9 @@
     outcome: replicas.CallOutcome,
   ): Promise<void> {
     if (outcome.status === replicas.CallStatus.Answered) {
-      if (outcome.answer.status < FIRST_ERROR_STATUS) this.clear(request);
+      const { status, signature } = outcome.answer;
+      // Without the replica's signature it is not certain that the replica ran the request.
+      if (status < FIRST_ERROR_STATUS && signature !== undefined) this.clear(request);
       return;
     }
     if (outcome.isConnectionLost !== true) return;
