All expired evidence is removed in one cleanup

Cause, found in review: a cleanup removed 100 rows a minute at most; crashes with many requests beside them leave more, so the rows grew without bound and with them each full read.

--- a/packages/gateway/__tests__/evidence-task.test.ts
+++ b/packages/gateway/__tests__/evidence-task.test.ts
@@ -13,16 +13,18 @@
 describe('the evidence of other gateways', () => {
   let quarantine: decisions.Quarantine;
   let task: evidenceTasks.EvidenceTask;
+  let store: standins.MemoryStore;
 
   beforeEach(() => {
     jest.useFakeTimers();
     quarantine = decisions.Quarantine.create({ nowMs: time.nowMs });
+    store = standins.MemoryStore.create({ nowMs: time.nowMs, pause: time.pause });
     task = evidenceTasks.EvidenceTask.create({
       environment: time.createEnvironment('vm-1', 'vm-1-first'),
-      store: standins.MemoryStore.create({ nowMs: time.nowMs, pause: time.pause }),
+      store,
       quarantine,
       reporter: { stop: () => {} },
-      listWorkers: () => [],
+      listWorkers: () => [{ vm: 'vm-1' }],
     });
   });
 
@@ -46,4 +48,23 @@
     task.onChanges([change(true), change(false)]);
     expect(quarantine.judge(FINGERPRINT).state).toBe(decisions.QuarantineState.Suspect);
   });
+
+  it('is removed whole once it has expired, however much there is', async () => {
+    for (let count = 0; count < 250; count += 50) {
+      const writes = Array.from({ length: 50 }, (_unused, index) =>
+        evidenceRows.encodeEvidence({
+          fingerprint: (count + index).toString(16).padStart(32, '0'),
+          replica: 'i-1',
+          endedMs: time.nowMs(),
+        }),
+      );
+      await time.settle(store.transact({ conditions: [], writes, removals: [] }));
+    }
+    await time.advance(2 * decisions.QUARANTINE_EVIDENCE_LIFETIME_MS);
+    await task.start();
+    await time.advance(61_000);
+    await task.stop();
+    const rows = await time.settle(store.read(evidenceRows.EVIDENCE_RANGE));
+    expect(rows).toMatchObject({ rows: [] });
+  });
 });
--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -24,7 +24,7 @@
 
 /** Interval between searches for expired rows. */
 const CLEANUP_INTERVAL_MS = 60_000;
-/** Rows removed by one cleanup. */
+/** Rows removed by one transaction. */
 const CLEANUP_ROWS = 100;
 /** Rows outlive their evidence by this time, so that clocks need not agree exactly. */
 const CLEANUP_GRACE_MS = 10_000;
@@ -121,14 +121,15 @@
     if (decisions.chooseNode(evidenceRows.EVIDENCE_PARTITION, workers) !== environment.vm) return;
     const outcome = await store.read(evidenceRows.EVIDENCE_RANGE);
     if (outcome.status !== stores.StoreStatus.Done) return;
-    const removals = outcome.rows.filter((row) => this.isExpired(row)).slice(0, CLEANUP_ROWS);
-    if (removals.length === 0) return;
-    const { status } = await store.transact({
-      conditions: [],
-      writes: [],
-      removals: removals.map(({ table, partition, key }) => ({ table, partition, key })),
-    });
-    environment.log.info('expired evidence removed', { rows: removals.length, status });
+    const expired = outcome.rows.filter((row) => this.isExpired(row));
+    for (let start = 0; start < expired.length; start += CLEANUP_ROWS) {
+      const removals = expired
+        .slice(start, start + CLEANUP_ROWS)
+        .map(({ table, partition, key }) => ({ table, partition, key }));
+      const { status } = await store.transact({ conditions: [], writes: [], removals });
+      environment.log.info('expired evidence removed', { rows: removals.length, status });
+      if (status !== stores.StoreStatus.Done) return;
+    }
   }
 
   private dropExpired(): void {
