Evidence with a single ended replica is dropped before that against a quarantined request

Cause, found in review: a quarantined request is not sent, so its evidence grows old, and 4,096 other requests with evidence drove it out although it still counted.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -142,6 +142,19 @@
   });
 });
 
+describe('the quarantine of requests with much evidence', () => {
+  it('keeps a quarantined request when many others become suspect', () => {
+    const clock = decisions.ManualClock.create();
+    const quarantine = decisions.Quarantine.create(clock);
+    ['r1', 'r2'].forEach((replica) => quarantine.record(report('deadly', replica)));
+    for (let index = 0; index < 2 * MAXIMUM_FINGERPRINTS; index += 1) {
+      quarantine.record(report(`f${index}`, `other-${index}`));
+    }
+    expect(quarantine.size).toBe(MAXIMUM_FINGERPRINTS);
+    expect(quarantine.judge('deadly').state).toBe(QuarantineState.Quarantined);
+  });
+});
+
 describe('a replay of a request that crashes replicas', () => {
   it('quarantines it and none of the requests that ran beside it', () => {
     fastCheck.assert(
--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -45,7 +45,7 @@
 
 /** How long evidence counts. */
 export const QUARANTINE_EVIDENCE_LIFETIME_MS = 600_000;
-/** Requests for which evidence is kept; the oldest evidence is dropped first. */
+/** Requests for which evidence is kept; the oldest with a single ended replica is dropped first. */
 const MAXIMUM_FINGERPRINTS = 4096;
 /** Replicas that are remembered for one request. */
 const MAXIMUM_REPLICAS = 16;
@@ -159,10 +159,11 @@
       );
       if (oldest) this.withdraw(fingerprint, oldest[0]);
     }
-    const [oldestFingerprint] = this.evidence.keys();
-    if (this.evidence.size > MAXIMUM_FINGERPRINTS && oldestFingerprint !== undefined) {
-      this.clear(oldestFingerprint);
-    }
+    if (this.evidence.size <= MAXIMUM_FINGERPRINTS) return;
+    // A quarantined request is not sent, so its evidence grows old while it still counts.
+    const requests = [...this.evidence];
+    const dropped = requests.find(([, ends]) => ends.size === 1) ?? requests[0];
+    if (dropped) this.clear(dropped[0]);
   }
 }
 
