--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -13,7 +13,9 @@
 import * as membershipTasks from '../membership/membership-task';
 import * as evidenceRows from '../quarantine/evidence-rows';
 import * as sharedQuarantines from '../quarantine/shared-quarantine';
+import * as rateLimits from '../limits/rate-limits';
 import * as directories from '../replicas/directory';
+import * as observedClients from '../replicas/observed-client';
 import * as forwarders from '../requests/forwarder';
 import * as routedStores from '../store/routed-store';
 import * as tableWatches from '../store/table-watch';
@@ -73,8 +75,16 @@
   private isStopping = false;
 
   private constructor(private readonly options: GatewayOptions) {
-    const { environment, replicaClient } = options;
+    const { environment } = options;
     const { log, metrics, nowMs } = environment;
+    const limits = rateLimits.RateLimits.create(environment);
+    const replicaClient = observedClients.ObservedReplicaClient.create(
+      options.replicaClient,
+      {
+        onSignals: (replica, signals, sentMs) => limits.record(replica, signals.rateLimit, sentMs),
+      },
+      nowMs,
+    );
     this.seeds = options.seeds;
     this.store = routedStores.RoutedStore.create({
       direct: options.directStore,
@@ -96,6 +106,7 @@
     const { configuration } = this;
     const quarantine = sharedQuarantines.createSharedQuarantine({
       ...options,
+      replicaClient,
       store: this.store,
       directory,
       listWorkers: () => this.members.listWorkers(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -42,6 +42,7 @@
   type ReplicaLoad,
   type ReplicaReport,
   type ReplicaRequest,
+  type ReplicaSignals,
   type RequestSender,
   type StreamEvent,
   type StreamHead,
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -34,6 +34,15 @@
   readonly slots: number;
 }
 
+/** What a replica tells about itself in the head of an answer, whatever the request was. */
+export interface ReplicaSignals {
+  /**
+   * The requests per second that it takes from all gateways together; undefined when it names no
+   * limit.
+   */
+  readonly rateLimit: number | undefined;
+}
+
 /** A request to a replica. */
 export interface ReplicaRequest {
   readonly id: string;
@@ -141,6 +150,8 @@
   /** Time limit for the whole call. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** Called with the head of an answer of this replica, before the answer is complete. */
+  readonly onSignals?: (signals: ReplicaSignals) => void;
 }
 
 /** Parameters of a stream. */
