Failing tests: replicas that name a rate limit get more requests

Seven gateways before three plain replicas with a limit of 1.0 a second send up to 52 requests in 4 s to one of them (11 allowed); the gateway that runs three jobs sends 16 items to an engine with a limit of 0.5 (8 allowed).

--- /dev/null
+++ b/packages/gateway/__tests__/rate-limited-replicas.test.ts
@@ -0,0 +1,119 @@
+/**
+ * Replicas that name a limit on the requests per second that they take from all gateways together.
+ */
+import type * as gateway from '@azureworks/gateway';
+import * as sendRates from './support/send-rate';
+import * as systems from './support/test-system';
+import * as time from './support/virtual-time';
+
+const GATEWAYS = 7;
+const STEP_MS = 20;
+const DURATION_MS = 14_000;
+const REQUEST_DEADLINE_MS = 800;
+const ITEM_LIMIT = 0.5;
+const ITEM_EVENTS = 60;
+
+describe('a replica that names a rate limit', () => {
+  let system: systems.TestSystem;
+  let gateways: gateway.Gateway[];
+  let requests = 0;
+
+  beforeEach(async () => {
+    jest.useFakeTimers();
+    requests = 0;
+    system = systems.TestSystem.create();
+    system.configure(systems.createConfiguration(1));
+    ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id));
+    ['p1', 'p2', 'p3'].forEach((id) => system.addReplica(id, { isPlain: true }));
+    gateways = [];
+    for (let index = 0; index < GATEWAYS; index += 1) {
+      gateways.push(await system.start(`vm${index}`));
+    }
+    await time.advance(3000);
+  });
+
+  afterEach(async () => {
+    await system.stopAll();
+    jest.useRealTimers();
+  });
+
+  function limit(ids: readonly string[], rateLimit: number | undefined): void {
+    ids.forEach((id) => {
+      system.replicas.getBehaviour(id).rateLimit = rateLimit;
+    });
+  }
+
+  async function send(): Promise<gateway.GatewayReply> {
+    const attempt = requests;
+    requests += 1;
+    return gateways[attempt % gateways.length].handle(
+      {
+        request: {
+          id: `attempt-${attempt}`,
+          method: 'POST',
+          target: '/plain/x',
+          host: systems.HOST,
+          headers: [],
+          body: Buffer.from(`body ${attempt}`),
+        },
+        path: '/plain/x',
+        deadlineMs: REQUEST_DEADLINE_MS,
+        receivedMs: time.nowMs(),
+        signal: new AbortController().signal,
+        afterEvent: undefined,
+      },
+      { begin: () => {}, receive: () => {} },
+    );
+  }
+
+  /** Sends a request every `intervalMs` to the gateways in turn; returns the replies. */
+  async function load(intervalMs: number, durationMs: number): Promise<gateway.GatewayReply[]> {
+    const replies: Promise<gateway.GatewayReply>[] = [];
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      if (elapsedMs % intervalMs === 0) replies.push(send());
+      await time.advance(STEP_MS);
+    }
+    await time.advance(REQUEST_DEADLINE_MS);
+    return Promise.all(replies);
+  }
+
+  /** Times at which requests were sent to a replica from a time on. */
+  function listSends(id: string, fromMs: number): number[] {
+    const { calls, runs } = system.replicas;
+    return [...calls, ...runs]
+      .filter(({ replica, startedMs }) => replica === id && startedMs >= fromMs)
+      .map(({ startedMs }) => startedMs)
+      .sort((first, second) => first - second);
+  }
+
+  function countMost(id: string, fromMs: number): number {
+    return sendRates.countMostInWindow(listSends(id, fromMs));
+  }
+
+  it('gets no more plain requests than it takes, whichever gateways they come to', async () => {
+    limit(['p1', 'p2', 'p3'], 1);
+    const startMs = time.nowMs();
+    await load(40, DURATION_MS);
+    ['p1', 'p2', 'p3'].forEach((id) => {
+      const most = countMost(id, startMs + sendRates.STABLE_WINDOW_MS);
+      expect(most).toBeLessThanOrEqual(sendRates.getAllowance(1));
+      expect(most).toBeGreaterThan(0);
+    });
+  });
+
+  it('gets no more items than it takes', async () => {
+    limit(['e1', 'e2'], ITEM_LIMIT);
+    const jobs = ['one', 'two', 'three'].map((id) => systems.createJob(id, 8, 8));
+    jobs
+      .flatMap((job) => job.items)
+      .forEach((item) => system.replicas.eventCounts.set(item.id, ITEM_EVENTS));
+    const startMs = time.nowMs();
+    await Promise.all(jobs.map((job) => time.settle(gateways[0].jobs.submit(job))));
+    await time.advance(DURATION_MS);
+    ['e1', 'e2'].forEach((id) => {
+      const most = countMost(id, startMs + sendRates.STABLE_WINDOW_MS);
+      expect(most).toBeLessThanOrEqual(sendRates.getAllowance(ITEM_LIMIT));
+      expect(most).toBeGreaterThan(0);
+    });
+  });
+});
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -27,6 +27,8 @@
   status: number;
   /** Time until a plain answer. */
   answerMs: number;
+  /** The requests per second that it names as its limit; undefined: none. */
+  rateLimit: number | undefined;
   /** The response to a new connection while the replica has not crashed. */
   listening: gateway.ListeningState;
 }
@@ -58,7 +60,11 @@
 
   readonly runs: RecordedRun[] = [];
 
-  readonly calls: { readonly replica: string; readonly id: string }[] = [];
+  readonly calls: {
+    readonly replica: string;
+    readonly id: string;
+    readonly startedMs: number;
+  }[] = [];
 
   /** Bodies of the requests that crash each replica that runs them. */
   readonly deadlyBodies = new Set<string>();
@@ -93,6 +99,7 @@
         streamFailureMs: 100,
         status: 200,
         answerMs: 10,
+        rateLimit: undefined,
         listening: ListeningState.Accepting,
       };
       this.behaviours.set(id, behaviour);
@@ -108,7 +115,7 @@
     if (this.isDown(replica.id)) {
       return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
     }
-    this.calls.push({ replica: replica.id, id: request.id });
+    this.calls.push({ replica: replica.id, id: request.id, startedMs: time.nowMs() });
     const connection = this.connect(replica.id);
     const outcome = await Promise.race([connection.lost, this.run(replica, request, options)]);
     connection.close();
@@ -177,6 +184,7 @@
     if (await pauseUnlessAborted(behaviour.answerMs, options.signal)) {
       return { status: CallStatus.Cancelled, reason: 'aborted' };
     }
+    options.onSignals?.({ rateLimit: behaviour.rateLimit });
     const { status } = behaviour;
     const signature = status === 200 ? `signature of ${request.id}` : undefined;
     const answer = { status, headers: [], body: Buffer.from('body'), signature };
@@ -225,6 +233,7 @@
       return { status: CallStatus.Answered, answer, load: undefined };
     }
     const weightVersion = this.versions.get(replica.id) ?? 1;
+    options.onSignals?.({ rateLimit: behaviour.rateLimit });
     receiver.begin({
       status: 200,
       headers: [],
