Rows shared between gateways: one reporter, and watches of several partitions

Cause: the quarantine's reporter bounds, collects and retries row changes, and a second kind of shared row needs the same. Change: it becomes store/row-reporter with its metric, log subject and hold-back as options (names on the outside unchanged); a table watch reads several partitions in full. No change of behaviour.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -171,12 +171,12 @@
     const watch = (
       table: string,
       observer: tableWatches.TableObserver,
-      partition?: string,
+      partitions?: readonly string[],
     ): runtime.Task =>
       tableWatches.TableWatch.create({
         store: this.store,
         table,
-        ...(partition === undefined ? {} : { partition }),
+        ...(partitions && { partitions }),
         observer,
         log,
         pause: environment.pause,
@@ -188,7 +188,7 @@
       watch(
         jobRecords.NOTICES_TABLE,
         tableWatches.combineObservers([this.takeover, quarantine.evidenceTask]),
-        evidenceRows.EVIDENCE_PARTITION,
+        [evidenceRows.EVIDENCE_PARTITION],
       ),
       this.members,
       this.takeover,
--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -7,17 +7,17 @@
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import * as boundedMaps from '../jobs/bounded-map';
+import type * as rowReporters from '../store/row-reporter';
 import type * as tableWatches from '../store/table-watch';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
-import type * as evidenceReporters from './evidence-reporter';
 import * as evidenceRows from './evidence-rows';
 
 export interface EvidenceTaskOptions {
   readonly environment: environments.Environment;
   readonly store: stores.Store;
   readonly quarantine: decisions.Quarantine;
-  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'stop'>;
+  readonly reporter: Pick<rowReporters.RowReporter, 'stop'>;
   /** The gateways of which one removes expired rows. */
   readonly listWorkers: () => readonly { readonly vm: string }[];
 }
@@ -60,7 +60,8 @@
     return Promise.resolve();
   }
 
-  onSnapshot(rows: readonly stores.Row[]): void {
+  onSnapshot(allRows: readonly stores.Row[]): void {
+    const rows = allRows.filter(({ partition }) => partition === evidenceRows.EVIDENCE_PARTITION);
     const present = new Set(rows.map((row) => row.key));
     this.stored
       .list()
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -5,8 +5,8 @@
 import * as decisions from '@azureworks/decisions';
 import type * as directories from '../replicas/directory';
 import type * as environments from '../types/environment';
+import type * as rowReporters from '../store/row-reporter';
 import * as replicas from '../types/replica';
-import type * as evidenceReporters from './evidence-reporter';
 import * as evidenceRows from './evidence-rows';
 import * as fingerprints from './fingerprint';
 import * as guardedRequests from './guarded-request';
@@ -15,7 +15,7 @@
 export interface RequestQuarantineOptions {
   readonly environment: environments.Environment;
   readonly quarantine: decisions.Quarantine;
-  readonly reporter: Pick<evidenceReporters.EvidenceReporter, 'report' | 'withdraw' | 'flush'>;
+  readonly reporter: Pick<rowReporters.RowReporter, 'report' | 'withdraw' | 'flush'>;
   readonly directory: directories.ReplicaDirectory;
   readonly replicaClient: replicas.ReplicaClient;
   readonly storeNowMs: () => number;
--- a/packages/gateway/src/quarantine/shared-quarantine.ts
+++ b/packages/gateway/src/quarantine/shared-quarantine.ts
@@ -6,8 +6,8 @@
 import type * as directories from '../replicas/directory';
 import type * as environments from '../types/environment';
 import type * as replicas from '../types/replica';
+import * as rowReporters from '../store/row-reporter';
 import type * as stores from '../types/store';
-import * as evidenceReporters from './evidence-reporter';
 import * as evidenceTasks from './evidence-task';
 import * as requestQuarantines from './request-quarantine';
 
@@ -22,6 +22,9 @@
   readonly listWorkers: () => readonly { readonly vm: string }[];
 }
 
+/** How long evidence is held back: most requests that a crash breaks off are answered meanwhile. */
+const EVIDENCE_HOLD_BACK_MS = 150;
+
 /** The parts of a quarantine that other parts of the gateway use. */
 export interface SharedQuarantine {
   readonly requests: requestQuarantines.RequestQuarantine;
@@ -31,7 +34,13 @@
 export function createSharedQuarantine(options: SharedQuarantineOptions): SharedQuarantine {
   const { environment, store } = options;
   const quarantine = decisions.Quarantine.create({ nowMs: environment.nowMs });
-  const reporter = evidenceReporters.EvidenceReporter.create({ environment, store });
+  const reporter = rowReporters.RowReporter.create({
+    environment,
+    store,
+    subject: 'evidence',
+    metric: 'quarantine_reports',
+    holdBackMs: EVIDENCE_HOLD_BACK_MS,
+  });
   const requests = requestQuarantines.RequestQuarantine.create({
     ...options,
     quarantine,
--- a/packages/gateway/src/quarantine/evidence-reporter.ts
+++ b/packages/gateway/src/store/row-reporter.ts
@@ -1,9 +1,9 @@
 /**
- * Writes evidence to the store, and removes it when the request was answered.
+ * Writes rows that this gateway shares with the others, and removes them again.
  *
- * Load pattern: a replica that crashes breaks off requests of many gateways, and a moment later most
- * of them are answered by other replicas. Evidence that proves nothing yet is therefore held back for
- * a short time, and never written if the request is cleared meanwhile: otherwise each of these
+ * Load pattern: one event, such as a replica that crashes or one that names a limit, is seen in many
+ * requests at once, and some of what they show is refuted a moment later. A row is therefore held
+ * back for a short time, and never written if it is withdrawn meanwhile: otherwise each of these
  * requests would cost two transactions and wake the watches of all gateways twice.
  *
  * The backlog is bounded and keeps one change for each row. Changes that come together share a
@@ -13,26 +13,30 @@
 import * as stores from '../types/store';
 
 /** A change of one row; a row without a value is removed. */
-export type EvidenceChange = stores.RowAddress & { readonly value?: Buffer };
+export type RowToReport = stores.RowAddress & { readonly value?: Buffer };
 
-export interface EvidenceReporterOptions {
+export interface RowReporterOptions {
   readonly environment: environments.Environment;
   readonly store: stores.Store;
+  /** What the rows hold, for the log. */
+  readonly subject: string;
+  /** Name of the counter of transactions; that of dropped rows begins with it. */
+  readonly metric: string;
+  /** How long a row is held back. */
+  readonly holdBackMs: number;
 }
 
 interface PendingChange {
-  readonly change: EvidenceChange;
+  readonly change: RowToReport;
   dueMs: number;
   /** Whether a transaction with this change was sent. */
   isSent: boolean;
 }
 
-/** How long evidence is held back. */
-const HOLD_BACK_MS = 150;
 /** Rows that wait to be changed; the oldest are dropped first. */
 const MAXIMUM_BACKLOG = 512;
 const MAXIMUM_TRANSACTION_ROWS = 50;
-/** One crash breaks off several requests within this time; their rows share a transaction. */
+/** One event shows in several requests within this time; their rows share a transaction. */
 const COLLECT_MS = 5;
 /** Limits of the transactions of one gateway, also of failed ones: a token bucket. */
 const BURST_TRANSACTIONS = 5;
@@ -41,8 +45,8 @@
 const MINIMUM_BACKOFF_MS = 100;
 const MAXIMUM_BACKOFF_MS = 1000;
 
-/** Reports evidence of this gateway. */
-export class EvidenceReporter {
+/** Reports rows of one kind. */
+export class RowReporter {
   private readonly backlog = new Map<string, PendingChange>();
 
   private readonly waiters = new Set<() => void>();
@@ -61,15 +65,15 @@
 
   private tokensUpdatedMs = -Infinity;
 
-  private constructor(private readonly options: EvidenceReporterOptions) {}
+  private constructor(private readonly options: RowReporterOptions) {}
 
-  static create(options: EvidenceReporterOptions): EvidenceReporter {
-    return new EvidenceReporter(options);
+  static create(options: RowReporterOptions): RowReporter {
+    return new RowReporter(options);
   }
 
-  /** Reports evidence soon, unless it is withdrawn before. */
+  /** Writes a row soon, unless it is withdrawn before. */
   report(row: stores.RowWrite): void {
-    this.add(row, HOLD_BACK_MS);
+    this.add(row, this.options.holdBackMs);
   }
 
   /** Removes rows; those that were not written yet need no transaction. */
@@ -104,7 +108,7 @@
     this.release();
   }
 
-  private add(change: EvidenceChange, delayMs: number): void {
+  private add(change: RowToReport, delayMs: number): void {
     const dueMs = this.options.environment.nowMs() + delayMs;
     this.backlog.delete(change.key);
     this.backlog.set(change.key, { change, dueMs, isSent: false });
@@ -125,7 +129,7 @@
     const { nowMs, random, metrics } = this.options.environment;
     this.isWriting = true;
     const status = await this.writeDue();
-    metrics.count('quarantine_reports', { outcome: status });
+    metrics.count(this.options.metric, { outcome: status });
     const isDone = status === stores.StoreStatus.Done;
     const backoffMs = isDone ? 0 : this.backoffMs * (0.5 + random());
     this.backoffMs = isDone ? MINIMUM_BACKOFF_MS : Math.min(MAXIMUM_BACKOFF_MS, this.backoffMs * 2);
@@ -178,9 +182,9 @@
     );
     if (excess.length === 0) return;
     excess.forEach((key) => this.backlog.delete(key));
-    const { log, metrics } = this.options.environment;
-    metrics.count('quarantine_reports_dropped', {}, excess.length);
-    log.warn('evidence dropped before it was reported', { rows: excess.length });
+    const { environment, metric, subject } = this.options;
+    environment.metrics.count(`${metric}_dropped`, {}, excess.length);
+    environment.log.warn(`${subject} dropped before it was reported`, { rows: excess.length });
   }
 
   private release(): void {
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -24,8 +24,8 @@
 export interface TableWatchOptions {
   readonly store: stores.Store;
   readonly table: string;
-  /** The partition that is read in full; the changes are those of all partitions. */
-  readonly partition?: string;
+  /** The partitions that are read in full; the changes are those of all partitions. */
+  readonly partitions?: readonly string[];
   readonly observer: TableObserver;
   readonly log: runtime.Log;
   readonly pause: (durationMs: number) => Promise<void>;
@@ -91,11 +91,18 @@
   }
 
   private async readTable(): Promise<boolean> {
-    const { store, table, partition = '', observer } = this.options;
-    const outcome = await store.read({ table, partition });
-    if (outcome.status !== stores.StoreStatus.Done || this.isStopped) return false;
-    this.revision = outcome.revision;
-    observer.onSnapshot(outcome.rows);
+    const { store, table, partitions = [''], observer } = this.options;
+    const rows: stores.Row[] = [];
+    let revision = Infinity;
+    for (const partition of partitions) {
+      const outcome = await store.read({ table, partition });
+      if (outcome.status !== stores.StoreStatus.Done || this.isStopped) return false;
+      rows.push(...outcome.rows);
+      // The changes between two reads are seen again, which does no harm.
+      revision = Math.min(revision, outcome.revision);
+    }
+    this.revision = revision;
+    observer.onSnapshot(rows);
     return true;
   }
 
