The gateways together keep the rate limit that a replica names

Callers of a replica in need: it named a limit for all gateways together, and got up to six times of it.

Cause: no decision read the limit; placement sees a replica in need as an idle one. Class: a limit of all that each gateway takes for itself, or does not hear.

Change: one gateway, chosen by rendezvous over the members, issues the permits for a replica; the others ask it, for several requests at once, and are told when to ask again in line with how many wait, urgent before less urgent. Plain requests, streams, hedges, scoring calls and items all need one. The issuer shares the limit in one row for each replica, so that gateways that have not heard and those that start know it. It starts without permits, and issues at half the rate while its membership is not certain. A replica that takes nothing gets a request every 4 s, since only its answers tell that its limit has ended. When all replicas of a service are at their limits the caller is refused at once with 'rate-limited', not run, and a Retry-After from the issuer.

--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -46,6 +46,11 @@
   'target-failed': { status: 502, verdict: MayHaveRun, message: 'the target failed' },
   'outcome-unknown': { status: 502, verdict: MayHaveRun, message: 'the outcome is not known' },
   'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
+  'rate-limited': {
+    status: 503,
+    verdict: NotRun,
+    message: 'all targets are at the rate limits that they named',
+  },
   'request-quarantined': {
     status: 503,
     verdict: NotRun,
--- a/packages/gateway/__tests__/membership.test.ts
+++ b/packages/gateway/__tests__/membership.test.ts
@@ -14,6 +14,7 @@
     failureDomain: 'a',
     capacity: 1,
     isStopping: false,
+    issuesPermits: true,
     revision,
   };
 }
--- a/packages/gateway/__tests__/plain-calls.test.ts
+++ b/packages/gateway/__tests__/plain-calls.test.ts
@@ -1,3 +1,4 @@
+import * as decisions from '@azureworks/decisions';
 import type * as gateway from '@azureworks/gateway';
 import * as plainCalls from '../src/requests/plain-call';
 import * as fakeReplicas from './support/fake-replicas';
@@ -38,7 +39,8 @@
       {
         replicaClient: replicas,
         nowMs: time.nowMs,
-        chooseReplica: (tried) =>
+        createRefusal: () => decisions.createFailure('no-target'),
+        chooseReplica: async (tried) =>
           directory
             .list(plainDirectories.SERVICE)
             .find((tracked) => !tried.has(tracked.replica.id)),
--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -2,6 +2,9 @@
 import type * as gateway from '@azureworks/gateway';
 import type * as runtime from '@azureworks/runtime';
 import type * as activeConfigurations from '../src/configuration/active-configuration';
+import * as permitRequesters from '../src/limits/permit-requester';
+import * as rateLimits from '../src/limits/rate-limits';
+import type * as permitIssuers from '../src/limits/permit-issuer';
 import * as requestQuarantines from '../src/quarantine/request-quarantine';
 import * as forwarders from '../src/requests/forwarder';
 import * as fakeReplicas from './support/fake-replicas';
@@ -57,6 +60,13 @@
       directory,
       replicaClient: replicas,
       quarantine,
+      permits: permitRequesters.PermitRequester.create({
+        environment,
+        limits: rateLimits.RateLimits.create(environment),
+        issuer: {} as permitIssuers.PermitIssuer,
+        peers: { requestPermits: () => Promise.resolve(undefined) },
+        listIssuers: () => [],
+      }),
     });
     const caller: gateway.CallerRequest = {
       request: {
--- a/packages/gateway/__tests__/streams.test.ts
+++ b/packages/gateway/__tests__/streams.test.ts
@@ -1,3 +1,4 @@
+import * as decisions from '@azureworks/decisions';
 import * as streamCalls from '../src/requests/stream-call';
 import * as fakeReplicas from './support/fake-replicas';
 import * as plainDirectories from './support/plain-directory';
@@ -27,7 +28,9 @@
       {
         replicaClient: replicas,
         nowMs: time.nowMs,
-        chooseReplica: (tried) => tracked.find((candidate) => !tried.has(candidate.replica.id)),
+        createRefusal: () => decisions.createFailure('no-target'),
+        chooseReplica: async (tried) =>
+          tracked.find((candidate) => !tried.has(candidate.replica.id)),
         recordOutcome: () => {},
       },
       {
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -8,6 +8,8 @@
 
 const ENGINE_SERVICE = 'engines';
 const PLAIN_SERVICE = 'plain';
+/** One way between two gateways. */
+const PEER_DELAY_MS = 1;
 export const HOST = 'trainer.example';
 export const JOB_PATH = '/jobs/one';
 
@@ -148,6 +150,8 @@
 
   private readonly gatewaysByAddress = new Map<string, gateway.Gateway>();
 
+  private readonly connectivityByAddress = new Map<string, Connectivity>();
+
   private configuration = createConfiguration(1);
 
   static create(): TestSystem {
@@ -198,6 +202,8 @@
       peers: {
         waitForResult: (address, id, position, waitMs, signal) =>
           this.waitAt(address, id, position, waitMs, signal),
+        requestPermits: (address, query, timeoutMs) =>
+          this.requestPermitsAt(address, query, timeoutMs, connectivity),
       },
       tables: { operator: 'operator', replicas: 'replicas' },
       decodeOperatorRow: (row) => this.decodeOperatorRow(row),
@@ -209,6 +215,7 @@
     });
     this.gateways.push(started);
     this.gatewaysByAddress.set(`${vm}:1`, started);
+    this.connectivityByAddress.set(`${vm}:1`, connectivity);
     await started.start();
     await time.advance(100);
     return started;
@@ -229,6 +236,27 @@
     return peer ? peer.jobs.results.waitForOwnedResult(...wait) : false;
   }
 
+  /** Asks a peer; a query between processes takes some milliseconds, and gets no answer when cut. */
+  private async requestPermitsAt(
+    address: string,
+    query: gateway.PermitQuery,
+    timeoutMs: number,
+    connectivity: Connectivity,
+  ): Promise<gateway.PermitReply | undefined> {
+    const peer = this.gatewaysByAddress.get(address);
+    const isCut = (): boolean =>
+      connectivity.isIsolated === true ||
+      this.connectivityByAddress.get(address)?.isIsolated === true;
+    if (!peer || isCut() || this.connectivityByAddress.get(address)?.isDead) {
+      await time.pause(timeoutMs);
+      return undefined;
+    }
+    await time.pause(PEER_DELAY_MS);
+    const reply = peer.permitIssuer.answer(query);
+    await time.pause(PEER_DELAY_MS);
+    return reply;
+  }
+
   private callFrom(connectivity: Connectivity): gateway.ReplicaClient {
     const { replicas } = this;
     const unlessDead = <Value>(act: () => Promise<Value>): Promise<Value> =>
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -13,7 +13,10 @@
 import * as membershipTasks from '../membership/membership-task';
 import * as evidenceRows from '../quarantine/evidence-rows';
 import * as sharedQuarantines from '../quarantine/shared-quarantine';
-import * as rateLimits from '../limits/rate-limits';
+import * as limitRows from '../limits/limit-rows';
+import type * as permitIssuers from '../limits/permit-issuer';
+import type * as permits from '../limits/permit';
+import * as sharedLimits from '../limits/shared-limits';
 import * as directories from '../replicas/directory';
 import * as observedClients from '../replicas/observed-client';
 import * as forwarders from '../requests/forwarder';
@@ -35,7 +38,7 @@
   readonly directStore: routedStores.ConnectedStore;
   readonly connectRelay: (address: string) => routedStores.ConnectedStore;
   readonly replicaClient: replicas.ReplicaClient;
-  readonly peers: resultReaders.Peers;
+  readonly peers: resultReaders.Peers & permits.PermitPeers;
   readonly tables: { readonly operator: string; readonly replicas: string };
   readonly decodeOperatorRow: activeConfigurations.DecodeOperatorRow;
   readonly decodeReplica: directories.DecodeReplica;
@@ -60,6 +63,9 @@
 
   readonly configuration: activeConfigurations.ActiveConfiguration;
 
+  /** Answers other gateways that ask for permits. */
+  readonly permitIssuer: permitIssuers.PermitIssuer;
+
   private readonly store: routedStores.RoutedStore;
 
   private readonly forwarder: forwarders.Forwarder;
@@ -77,14 +83,6 @@
   private constructor(private readonly options: GatewayOptions) {
     const { environment } = options;
     const { log, metrics, nowMs } = environment;
-    const limits = rateLimits.RateLimits.create(environment);
-    const replicaClient = observedClients.ObservedReplicaClient.create(
-      options.replicaClient,
-      {
-        onSignals: (replica, signals, sentMs) => limits.record(replica, signals.rateLimit, sentMs),
-      },
-      nowMs,
-    );
     this.seeds = options.seeds;
     this.store = routedStores.RoutedStore.create({
       direct: options.directStore,
@@ -104,6 +102,31 @@
       isStoreStable: () => this.store.isStable,
     });
     const { configuration } = this;
+    this.members = membershipTasks.MembershipTask.create({
+      environment,
+      store: this.store,
+      failureDomains: options.failureDomains,
+      onChange: () => {
+        this.permitIssuer.onMembersChanged();
+        this.takeover.search();
+      },
+    });
+    const limits = sharedLimits.createSharedLimits({
+      environment,
+      store: this.store,
+      directory,
+      members: this.members,
+      peers: options.peers,
+    });
+    this.permitIssuer = limits.issuer;
+    const replicaClient = observedClients.ObservedReplicaClient.create(
+      options.replicaClient,
+      {
+        onSignals: (replica, { rateLimit }, sentMs) =>
+          limits.limits.record(replica, rateLimit, sentMs),
+      },
+      nowMs,
+    );
     const quarantine = sharedQuarantines.createSharedQuarantine({
       ...options,
       replicaClient,
@@ -117,6 +140,7 @@
       directory,
       replicaClient,
       quarantine: quarantine.requests,
+      permits: limits.requester,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
@@ -125,14 +149,9 @@
       directory,
       caller: replicaClient,
       forwarder: this.forwarder,
+      permits: limits.requester,
       storeNowMs: () => this.store.nowMs,
     });
-    this.members = membershipTasks.MembershipTask.create({
-      environment,
-      store: this.store,
-      failureDomains: options.failureDomains,
-      onChange: () => this.takeover.search(),
-    });
     this.jobs = jobServices.JobService.create({
       environment,
       store: jobStore,
@@ -187,12 +206,13 @@
       watch(options.tables.replicas, directory),
       watch(
         jobRecords.NOTICES_TABLE,
-        tableWatches.combineObservers([this.takeover, quarantine.evidenceTask]),
-        [evidenceRows.EVIDENCE_PARTITION],
+        tableWatches.combineObservers([limits.task, this.takeover, quarantine.evidenceTask]),
+        [limitRows.RATE_LIMIT_PARTITION, evidenceRows.EVIDENCE_PARTITION],
       ),
       this.members,
       this.takeover,
       quarantine.evidenceTask,
+      limits.task,
       weights,
     ];
     this.supervisor = runtime.Supervisor.create('gateway', tasks, log);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -60,4 +60,5 @@
 } from './types/batch-job';
 export type { CallerRequest, Reply, ReplyStream } from './types/exchange';
 export type { Answer } from './jobs/answer';
+export type { PermitPeers, PermitQuery, PermitReply } from './limits/permit';
 export type { Peers, ResultsPage } from './jobs/result-reader';
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -5,6 +5,7 @@
  */
 import type * as activeConfigurations from '../configuration/active-configuration';
 import * as routeTables from '../configuration/route-table';
+import type * as permitRequesters from '../limits/permit-requester';
 import type * as environments from '../types/environment';
 import type * as configurations from '../types/configuration';
 import * as jobs from '../types/batch-job';
@@ -24,6 +25,7 @@
   readonly directory: directories.ReplicaDirectory;
   readonly caller: replicas.ReplicaClient;
   readonly forwarder: forwarders.Forwarder;
+  readonly permits: permitRequesters.PermitRequester;
   /** The store's clock, on which the age of a job is measured. */
   readonly storeNowMs: () => number;
 }
@@ -176,16 +178,17 @@
     route: configurations.Route,
     nowMs: number,
   ): directories.TrackedReplica | undefined {
-    const { directory, environment } = this.options;
+    const { directory, environment, permits } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     if (service === undefined) return undefined;
     const { model } = itemProgress.item;
-    const candidates = directory
+    let candidates = directory
       .list(service)
       .filter((tracked) => {
         const version = directory.getVersion(tracked, model);
         if (version !== undefined && version < job.head.oldestVersion) return false;
         if ((tracked.loadingUntilMs.get(model) ?? -Infinity) > nowMs) return false;
+        if (permits.isRefused(tracked.replica)) return false;
         return directory.getLoad(tracked) < tracked.replica.slots;
       })
       .map((tracked) => {
@@ -194,7 +197,13 @@
         // The failure domain of the replica does not matter for batch items.
         return { ...candidate, isLocal: false, isEjected: candidate.isEjected || ranItemLast };
       });
-    return placement.choosePlacement(candidates, environment.random())?.tracked;
+    for (;;) {
+      const chosen = placement.choosePlacement(candidates, environment.random())?.tracked;
+      if (!chosen) return undefined;
+      const onPermit = (): void => this.scheduleDispatch();
+      if (permits.tryTake(chosen.replica, route.priority, onPermit)) return chosen;
+      candidates = candidates.filter(({ tracked }) => tracked !== chosen);
+    }
   }
 
   private async runItem(
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -96,6 +96,16 @@
     return this.isStopping ? others : [this.ownRecord, ...others];
   }
 
+  /** The live gateways that issue permits for replicas that limit their rate. */
+  listIssuers(): membership.MemberRecord[] {
+    return this.listWorkers().filter((record) => record.issuesPermits);
+  }
+
+  /** How long the views of the members may differ after a change. */
+  get settlingMs(): number {
+    return this.view.validityMs;
+  }
+
   /** The record of another live gateway; undefined when it is unknown or gone. */
   find(vm: string): membership.MemberRecord | undefined {
     return this.listPeers().find((record) => record.vm === vm);
@@ -117,6 +127,7 @@
       failureDomain,
       capacity,
       isStopping,
+      issuesPermits: true,
       revision: 0,
     };
   }
@@ -141,8 +152,10 @@
     const { environment, store } = this.options;
     const sentMs = environment.nowMs();
     this.suspensionDetector.check();
-    const { incarnation, address, capacity, isStopping } = this.ownRecord;
-    const value = Buffer.from(JSON.stringify({ incarnation, address, capacity, isStopping }));
+    const { incarnation, address, capacity, isStopping, issuesPermits } = this.ownRecord;
+    const value = Buffer.from(
+      JSON.stringify({ incarnation, address, capacity, isStopping, issuesPermits }),
+    );
     const write = { ...this.rowAddress, value };
     const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
     if (outcome.status !== stores.StoreStatus.Done) return false;
@@ -183,7 +196,7 @@
 function decodeRecord(row: stores.Row): membership.MemberRecord[] {
   try {
     const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
-    const { incarnation, address, capacity, isStopping } = value;
+    const { incarnation, address, capacity, isStopping, issuesPermits } = value;
     if (typeof incarnation !== 'string' || typeof address !== 'string') return [];
     const { key, partition, revision } = row;
     return [
@@ -194,6 +207,7 @@
         address,
         capacity: typeof capacity === 'number' ? capacity : 0,
         isStopping: isStopping === true,
+        issuesPermits: issuesPermits === true,
         revision,
       },
     ];
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -17,6 +17,8 @@
   readonly capacity: number;
   /** Whether it is about to stop and takes no new work. */
   readonly isStopping: boolean;
+  /** Whether it can issue permits for replicas that limit their rate. */
+  readonly issuesPermits: boolean;
   /** Revision of the row; it changes with every renewal. */
   readonly revision: number;
 }
--- a/packages/gateway/src/requests/call-context.ts
+++ b/packages/gateway/src/requests/call-context.ts
@@ -1,6 +1,7 @@
 /**
- * Dependencies of plain and streaming calls, and the retry delay given to a refused caller.
+ * Dependencies of plain and streaming calls.
  */
+import type * as decisions from '@azureworks/decisions';
 import type * as directories from '../replicas/directory';
 import type * as replicas from '../types/replica';
 
@@ -8,14 +9,15 @@
 export interface CallContext {
   readonly replicaClient: replicas.RequestSender;
   readonly nowMs: () => number;
-  /** Chooses a replica that is not in `tried`. */
-  readonly chooseReplica: (tried: ReadonlySet<string>) => directories.TrackedReplica | undefined;
+  /** Chooses a replica that is not in `tried` and to which the request may be sent now. */
+  readonly chooseReplica: (
+    tried: ReadonlySet<string>,
+  ) => Promise<directories.TrackedReplica | undefined>;
+  /** The failure of a request that did not run because no replica could be chosen. */
+  readonly createRefusal: () => decisions.Failure;
   readonly recordOutcome: (
     tracked: directories.TrackedReplica,
     outcome: replicas.CallOutcome,
     tookMs: number,
   ) => void;
 }
-
-/** A refused caller may retry after this time; other replicas may have free slots by then. */
-export const REFUSAL_RETRY_AFTER_MS = 100;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -7,6 +7,7 @@
 import type * as activeConfigurations from '../configuration/active-configuration';
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
+import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as placement from '../replicas/placement';
@@ -22,6 +23,7 @@
   readonly directory: directories.ReplicaDirectory;
   readonly replicaClient: replicas.ReplicaClient;
   readonly quarantine: requestQuarantines.RequestQuarantine;
+  readonly permits: permitRequesters.PermitRequester;
 }
 
 /** A request that the gateway itself makes. */
@@ -41,6 +43,9 @@
 /** A resumable stream continues on another replica after this long without an event. */
 const STREAM_IDLE_TIMEOUT_MS = 1000;
 
+/** A refused caller may retry after this time; other replicas may have free slots by then. */
+const REFUSAL_RETRY_AFTER_MS = 100;
+
 /** The first status that reports an error of the replica. */
 const FIRST_ERROR_STATUS = 500;
 
@@ -86,7 +91,8 @@
       {
         replicaClient: guard,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, tried, guard),
+        chooseReplica: (tried) => this.chooseReplica(service, route.priority, tried, guard),
+        createRefusal: () => this.createRefusal(service),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -173,7 +179,8 @@
       {
         replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, tried, guard),
+        chooseReplica: (tried) => this.chooseReplica(service, route.priority, tried, guard),
+        createRefusal: () => this.createRefusal(service),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -189,18 +196,42 @@
     return call.run();
   }
 
-  private chooseReplica(
+  private async chooseReplica(
     service: string | undefined,
+    priority: number,
     tried: ReadonlySet<string>,
     guard?: guardedRequests.GuardedRequest,
-  ): directories.TrackedReplica | undefined {
+  ): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
-    const { environment, directory } = this.options;
-    const untried = directory.list(service).filter(({ replica }) => !tried.has(replica.id));
-    const allowed = guard ? guard.selectReplicas(untried) : untried;
-    const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
-    const draw = guard ? guard.draw(environment.random) : environment.random();
-    return placement.choosePlacement(candidates, draw)?.tracked;
+    const { environment, directory, permits } = this.options;
+    const excluded = new Set(tried);
+    for (;;) {
+      const open = directory
+        .list(service)
+        .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica));
+      const allowed = guard ? guard.selectReplicas(open) : open;
+      const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
+      const draw = guard ? guard.draw(environment.random) : environment.random();
+      const chosen = placement.choosePlacement(candidates, draw)?.tracked;
+      if (!chosen || !permits.isNeeded(chosen.replica)) return chosen;
+      const isGranted = await permits.take(chosen.replica, priority);
+      // Meanwhile the request may have become suspect, or another of its calls may have started.
+      const isAllowed = !guard || guard.selectReplicas([chosen]).length > 0;
+      if (isGranted && isAllowed) return chosen;
+      excluded.add(chosen.replica.id);
+    }
+  }
+
+  /** The failure of a request that did not run because no replica of the service could take it. */
+  private createRefusal(service: string | undefined): decisions.Failure {
+    const { directory, permits } = this.options;
+    const waitsMs = directory
+      .list(service ?? '')
+      .map(({ replica }) => permits.getRetryAfterMs(replica));
+    const shortestMs = waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+    return decisions.createFailure(shortestMs > 0 ? 'rate-limited' : 'no-target', {
+      retryAfterMs: Math.max(REFUSAL_RETRY_AFTER_MS, Math.ceil(shortestMs)),
+    });
   }
 
   private recordOutcome(
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -10,7 +10,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-import * as callContexts from './call-context';
+import type * as callContexts from './call-context';
 
 /** Options of a plain call. */
 export interface PlainCallOptions {
@@ -58,8 +58,12 @@
 
   private resolve: ((result: PlainCallResult) => void) | undefined;
 
+  private reject: ((error: unknown) => void) | undefined;
+
   private isFinished = false;
 
+  private isChoosing = false;
+
   private constructor(
     private readonly context: callContexts.CallContext,
     private readonly options: PlainCallOptions,
@@ -70,8 +74,9 @@
   }
 
   run(): Promise<PlainCallResult> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.resolve = resolve;
+      this.reject = reject;
       this.options.signal.addEventListener('abort', this.onCallerDisconnected, { once: true });
       const remainingMs = Math.max(0, this.options.deadlineAtMs - this.context.nowMs());
       this.deadlineTimer = setTimeout(() => this.fail('deadline-exceeded'), remainingMs);
@@ -82,11 +87,18 @@
   private readonly onCallerDisconnected = (): void => this.fail('deadline-exceeded');
 
   private sendNext(): void {
-    if (this.isFinished) return;
+    if (this.isFinished || this.isChoosing) return;
+    this.isChoosing = true;
+    this.chooseAndSend().catch((error) => this.reject?.(error));
+  }
+
+  private async chooseAndSend(): Promise<void> {
     const tracked =
       this.triedIds.size < this.options.maximumAttempts
-        ? this.context.chooseReplica(this.triedIds)
+        ? await this.context.chooseReplica(this.triedIds)
         : undefined;
+    this.isChoosing = false;
+    if (this.isFinished) return;
     if (tracked) this.send(tracked);
     else if (this.runningCalls.size === 0) this.giveUp();
   }
@@ -146,7 +158,7 @@
     // The request ran: an answer with a refusal status would tell the caller that it did not.
     if (answer && !REFUSAL_STATUSES.has(answer.status)) this.complete({ kind: 'answer', answer });
     else if (this.mayHaveRun) this.fail('target-failed');
-    else this.fail('no-target');
+    else this.complete({ kind: 'failure', failure: this.context.createRefusal() });
   }
 
   private fail(code: decisions.ErrorCode): void {
@@ -154,12 +166,7 @@
       this.mayHaveRun || this.runningCalls.size > 0
         ? decisions.VerdictKind.MayHaveRun
         : decisions.VerdictKind.NotRun;
-    const isRefusal = code === 'no-target';
-    const failure = decisions.createFailure(code, {
-      verdict,
-      ...(isRefusal ? { retryAfterMs: callContexts.REFUSAL_RETRY_AFTER_MS } : {}),
-    });
-    this.complete({ kind: 'failure', failure });
+    this.complete({ kind: 'failure', failure: decisions.createFailure(code, { verdict }) });
   }
 
   private complete(reply: exchanges.Reply): void {
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -8,7 +8,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-import * as callContexts from './call-context';
+import type * as callContexts from './call-context';
 
 /** Options of a streaming call. */
 export interface StreamCallOptions {
@@ -60,7 +60,9 @@
   async run(): Promise<StreamCallResult> {
     let mayHaveRun = false;
     while (this.triedIds.size < Math.max(1, this.options.maximumAttempts)) {
-      const tracked = this.isExpired() ? undefined : this.context.chooseReplica(this.triedIds);
+      const tracked = this.isExpired()
+        ? undefined
+        : await this.context.chooseReplica(this.triedIds);
       if (!tracked) break;
       const outcome = await this.send(tracked);
       if (outcome.status === replicas.CallStatus.Answered) return this.handleAnswer(outcome.answer);
@@ -128,9 +130,7 @@
     const verdict = mayHaveRun ? decisions.VerdictKind.MayHaveRun : decisions.VerdictKind.NotRun;
     if (this.isExpired()) return decisions.createFailure('deadline-exceeded', { verdict });
     if (mayHaveRun) return decisions.createFailure('target-failed');
-    return decisions.createFailure('no-target', {
-      retryAfterMs: callContexts.REFUSAL_RETRY_AFTER_MS,
-    });
+    return this.context.createRefusal();
   }
 
   private createResult(reply: StreamCallResult['reply']): StreamCallResult {
