--- a/packages/gateway/__tests__/rate-limited-replicas.test.ts
+++ b/packages/gateway/__tests__/rate-limited-replicas.test.ts
@@ -16,6 +16,7 @@
 describe('a replica that names a rate limit', () => {
   let system: systems.TestSystem;
   let gateways: gateway.Gateway[];
+  let connectivities: systems.Connectivity[];
   let requests = 0;
 
   beforeEach(async () => {
@@ -26,8 +27,9 @@
     ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id));
     ['p1', 'p2', 'p3'].forEach((id) => system.addReplica(id, { isPlain: true }));
     gateways = [];
+    connectivities = Array.from({ length: GATEWAYS }, () => ({ isDirectCut: false }));
     for (let index = 0; index < GATEWAYS; index += 1) {
-      gateways.push(await system.start(`vm${index}`));
+      gateways.push(await system.start(`vm${index}`, 'first', connectivities[index]));
     }
     await time.advance(3000);
   });
@@ -67,9 +69,14 @@
   }
 
   /** Sends a request every `intervalMs` to the gateways in turn; returns the replies. */
-  async function load(intervalMs: number, durationMs: number): Promise<gateway.GatewayReply[]> {
+  async function load(
+    intervalMs: number,
+    durationMs: number,
+    onStep: (elapsedMs: number) => Promise<void> | void = () => {},
+  ): Promise<gateway.GatewayReply[]> {
     const replies: Promise<gateway.GatewayReply>[] = [];
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      await onStep(elapsedMs);
       if (elapsedMs % intervalMs === 0) replies.push(send());
       await time.advance(STEP_MS);
     }
@@ -116,4 +123,70 @@
       expect(most).toBeGreaterThan(0);
     });
   });
+
+  function expectLimitKept(ids: readonly string[], rateLimit: number, startMs: number): void {
+    ids.forEach((id) => {
+      const most = countMost(id, startMs + sendRates.STABLE_WINDOW_MS);
+      expect(most).toBeLessThanOrEqual(sendRates.getAllowance(rateLimit));
+      expect(most).toBeGreaterThan(0);
+    });
+  }
+
+  it('gets no more than it takes while gateways die and start again', async () => {
+    limit(['p1', 'p2', 'p3'], 1);
+    const startMs = time.nowMs();
+    await load(40, DURATION_MS, async (elapsedMs) => {
+      if (elapsedMs === 0 || elapsedMs % 2000 !== 0) return;
+      const index = (elapsedMs / 2000) % GATEWAYS;
+      connectivities[index].isDead = true;
+      connectivities[index] = { isDirectCut: false };
+      const incarnation = `after ${elapsedMs}`;
+      gateways[index] = await system.start(`vm${index}`, incarnation, connectivities[index]);
+    });
+    expectLimitKept(['p1', 'p2', 'p3'], 1, startMs);
+  });
+
+  it('gets no more than it takes while no gateway reaches the store', async () => {
+    const startMs = time.nowMs();
+    await load(40, DURATION_MS, (elapsedMs) => {
+      if (elapsedMs === 1000) limit(['p1', 'p2', 'p3'], 1);
+      system.isStoreAway = elapsedMs >= 500 && elapsedMs < 9000;
+    });
+    expectLimitKept(['p1', 'p2', 'p3'], 1, startMs + 1000);
+  });
+
+  it('is not sent requests beyond its limit by a gateway that starts later and has not heard of it', async () => {
+    limit(['p1', 'p2', 'p3'], 0);
+    await load(100, 4000);
+    const late = await system.start('vm-late');
+    const startMs = time.nowMs();
+    gateways = [late];
+    await load(40, 4000);
+    ['p1', 'p2', 'p3'].forEach((id) => expect(countMost(id, startMs)).toBeLessThanOrEqual(3));
+  });
+
+  it('makes its callers return later: a request beyond all limits is refused at once, as not run', async () => {
+    limit(['p1', 'p2', 'p3'], 0.5);
+    await load(40, 4000);
+    const sentBefore = system.replicas.calls.length;
+    const replies = await load(40, 400);
+    const failures = replies.flatMap((reply) => (reply.kind === 'failure' ? [reply.failure] : []));
+    expect(failures.length + system.replicas.calls.length - sentBefore).toBe(replies.length);
+    expect(failures.length).toBeGreaterThan(0);
+    failures.forEach((failure) => {
+      expect(failure).toMatchObject({ code: 'rate-limited', verdict: 'not-run' });
+      expect(failure.retryAfterMs).toBeGreaterThanOrEqual(100);
+    });
+    const delays = new Set(failures.map(({ retryAfterMs }) => retryAfterMs));
+    expect(delays.size).toBeGreaterThan(failures.length / 2);
+  });
+
+  it('gets its usual requests again once its answers name no limit', async () => {
+    limit(['p1', 'p2', 'p3'], 1);
+    await load(40, 6000);
+    limit(['p1', 'p2', 'p3'], undefined);
+    await load(40, 3000);
+    const replies = await load(40, 1000);
+    expect(replies.filter((reply) => reply.kind === 'answer')).toHaveLength(replies.length);
+  });
 });
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -146,6 +146,9 @@
 
   readonly replicas = fakeReplicas.FakeReplicas.create();
 
+  /** Whether no call of any gateway reaches the store. */
+  isStoreAway = false;
+
   private readonly gateways: gateway.Gateway[] = [];
 
   private readonly gatewaysByAddress = new Map<string, gateway.Gateway>();
@@ -191,7 +194,7 @@
     connectivity: Connectivity = { isDirectCut: false },
   ): Promise<gateway.Gateway> {
     const isUnreachable = (): boolean =>
-      connectivity.isIsolated === true || connectivity.isDead === true;
+      this.isStoreAway || connectivity.isIsolated === true || connectivity.isDead === true;
     const started = gateway.Gateway.create({
       environment: time.createEnvironment(vm, incarnation),
       failureDomains: ['domain-a'],
