Gateways decode and log the version of a replica's software

Cause: logs could not tell at which version of the software an item began and went on. No decision reads it yet.

--- a/packages/gateway/__tests__/store-access.test.ts
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -205,6 +205,7 @@
           slots: 4,
           isDraining: state === 'draining',
           bornMs: Number(born),
+          softwareVersion: 'v1',
           modelVersions: new Map([['m', 1]]),
         };
       },
--- a/packages/gateway/__tests__/support/plain-directory.ts
+++ b/packages/gateway/__tests__/support/plain-directory.ts
@@ -21,6 +21,7 @@
       slots: 4,
       isDraining: false,
       bornMs: 1,
+      softwareVersion: 'v1',
       modelVersions: new Map(),
     }),
     isStoreStable: () => true,
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -175,6 +175,8 @@
       readonly version?: number;
       readonly bornMs?: number;
       readonly isDraining?: boolean;
+      /** The version of its software; null: it names none. */
+      readonly softwareVersion?: string | null;
     } = {},
   ): void {
     const value = JSON.stringify({
@@ -182,6 +184,7 @@
       version: options.version ?? 1,
       isDraining: options.isDraining ?? false,
       bornMs: options.bornMs ?? 1,
+      softwareVersion: options.softwareVersion === undefined ? 'v1' : options.softwareVersion,
     });
     this.replicas.versions.set(id, options.version ?? 1);
     this.store.write('replicas', '', id, value);
@@ -319,6 +322,7 @@
       readonly version: number;
       readonly isDraining: boolean;
       readonly bornMs: number;
+      readonly softwareVersion: string | null;
     };
     return {
       id: row.key,
@@ -328,6 +332,7 @@
       slots: 4,
       isDraining: parsed.isDraining,
       bornMs: parsed.bornMs,
+      softwareVersion: parsed.softwareVersion ?? undefined,
       modelVersions: new Map([['model', parsed.version]]),
     };
   } catch {
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -222,6 +222,7 @@
       version: directory.getVersion(tracked, itemProgress.item.model),
       expectedTokens: itemProgress.item.expectedOutputTokens,
       afterEvent: itemProgress.lastEvent,
+      softwareVersion: tracked.replica.softwareVersion,
       ageMs: Math.round(this.options.storeNowMs() - job.head.submittedMs),
     });
     const run = streamRuns.StreamRun.create({
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -182,7 +182,8 @@
   private logChange(former: replicas.Replica | undefined, replica: replicas.Replica): void {
     const { log } = this.options.environment;
     if (!former) {
-      const { id, service, address, failureDomain, slots, bornMs, isDraining } = replica;
+      const { id, service, address, failureDomain, slots, bornMs, isDraining, softwareVersion } =
+        replica;
       log.info('replica joined', {
         replica: id,
         service,
@@ -191,6 +192,7 @@
         slots,
         bornMs,
         isDraining,
+        softwareVersion,
       });
     } else if (former.isDraining !== replica.isDraining) {
       log.info('replica draining', { replica: replica.id, isDraining: replica.isDraining });
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -14,6 +14,11 @@
   readonly isDraining: boolean;
   /** Unix time of its start; together with the id it identifies one incarnation. */
   readonly bornMs: number;
+  /**
+   * The version of its software, which is not that of the weights; undefined when it names none.
+   * What replicas of different versions write does not fit together.
+   */
+  readonly softwareVersion: string | undefined;
   /** Loaded version of the weights, by model. */
   readonly modelVersions: ReadonlyMap<string, number>;
 }
