--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -42,6 +42,7 @@
   readonly itemId: string;
   readonly afterEvent: number | undefined;
   readonly startedMs: number;
+  readonly softwareVersion: string | undefined;
 }
 
 /** The complete text of an item: the data of each event consists of the item's id and a number. */
@@ -217,7 +218,14 @@
       return { status: CallStatus.NotRun, reason: 'status 503' };
     }
     const startedMs = time.nowMs();
-    this.runs.push({ replica: replica.id, itemId: request.id, afterEvent, startedMs });
+    const { id: replicaId, softwareVersion } = replica;
+    this.runs.push({
+      replica: replicaId,
+      itemId: request.id,
+      afterEvent,
+      startedMs,
+      softwareVersion,
+    });
     await this.crashIfDeadly(replica, request);
     if (this.isDown(replica.id)) return { status: CallStatus.Broken, reason: 'ECONNRESET' };
     if (behaviour.isSilent) {
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -55,6 +55,14 @@
         kind: gateway.RouteKind.Idempotent,
         services: [{ service: PLAIN_SERVICE, weight: 1 }],
       },
+      {
+        ...base,
+        name: 'stream',
+        pathPrefix: '/stream/',
+        kind: gateway.RouteKind.Streaming,
+        isResumable: true,
+        services: [{ service: ENGINE_SERVICE, weight: 1 }],
+      },
     ].filter((route) => !options.hasNoRollout || route.kind !== gateway.RouteKind.Rollout),
     services: new Map([
       [
--- a/packages/gateway/src/types/exchange.ts
+++ b/packages/gateway/src/types/exchange.ts
@@ -17,6 +17,8 @@
   readonly signal: AbortSignal;
   /** Id of the event after which a stream resumes. */
   readonly afterEvent: number | undefined;
+  /** Id of the caller's attempt that brought the first event of the stream that this one resumes. */
+  readonly firstAttemptId?: string | undefined;
 }
 
 /** A replica's answer, or a failure reported by the gateway itself. */
