A text goes on only at the software that began it

Callers and trainers: a stream or a text that went on after a break was joined from two software versions, with nothing to show it.

Cause: the version of a replica's software was not decoded, and every way on which a text goes on took any replica. Class: state that is valid only where it was made, without the name of that place.

Change: a text carries the software that wrote it, in memory, in checkpoints and in texts saved for an item that is submitted again. It goes on where that software serves and works, and begins anew where it does not; the text of an earlier gateway without that field begins anew. A stream goes on within its answer at its software or breaks off. A stream of unknown software is refused with 'unknown-stream', not run.

--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -51,6 +51,11 @@
     verdict: NotRun,
     message: 'all targets are at the rate limits that they named',
   },
+  'unknown-stream': {
+    status: 503,
+    verdict: NotRun,
+    message: 'the stream cannot be resumed, as the software that began it is not known',
+  },
   'request-quarantined': {
     status: 503,
     verdict: NotRun,
--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -67,6 +67,7 @@
         peers: { requestPermits: () => Promise.resolve(undefined) },
         listIssuers: () => [],
       }),
+      origins: { find: () => Promise.resolve(undefined), record: () => {} },
     });
     const caller: gateway.CallerRequest = {
       request: {
--- a/packages/gateway/__tests__/streams.test.ts
+++ b/packages/gateway/__tests__/streams.test.ts
@@ -47,6 +47,8 @@
         callerDeadlineAtMs: time.nowMs() + 5000,
         deadlineAtMs: time.nowMs() + 4000,
         afterEvent: undefined,
+        software: undefined,
+        onBegun: () => {},
         idleTimeoutMs: 500,
         signal,
       },
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -21,6 +21,8 @@
 import * as observedClients from '../replicas/observed-client';
 import * as forwarders from '../requests/forwarder';
 import * as routedStores from '../store/routed-store';
+import * as softwareHistories from '../streams/software-history';
+import * as streamOrigins from '../streams/stream-origins';
 import * as tableWatches from '../store/table-watch';
 import type * as jobs from '../types/batch-job';
 import * as configurations from '../types/configuration';
@@ -70,6 +72,8 @@
 
   private readonly forwarder: forwarders.Forwarder;
 
+  private readonly softwareHistory: softwareHistories.SoftwareHistory;
+
   private readonly members: membershipTasks.MembershipTask;
 
   private readonly takeover: takeoverTasks.TakeoverTask;
@@ -108,6 +112,7 @@
       failureDomains: options.failureDomains,
       onChange: () => {
         this.permitIssuer.onMembersChanged();
+        this.softwareHistory.onMembersChanged();
         this.takeover.search();
       },
     });
@@ -134,6 +139,21 @@
       directory,
       listWorkers: () => this.members.listWorkers(),
     });
+    const listWorkers = (): ReturnType<membershipTasks.MembershipTask['listWorkers']> =>
+      this.members.listWorkers();
+    this.softwareHistory = softwareHistories.SoftwareHistory.create({
+      environment,
+      store: this.store,
+      listWorkers,
+    });
+    const origins = streamOrigins.StreamOrigins.create({
+      environment,
+      store: this.store,
+      history: this.softwareHistory,
+      listWorkers,
+    });
+    this.softwareHistory.subscribe((service) => origins.onMixed(service));
+    directory.subscribe(this.softwareHistory);
     this.forwarder = forwarders.Forwarder.create({
       environment,
       configuration,
@@ -141,6 +161,7 @@
       replicaClient,
       quarantine: quarantine.requests,
       permits: limits.requester,
+      origins,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
@@ -213,6 +234,8 @@
       this.takeover,
       quarantine.evidenceTask,
       limits.task,
+      this.softwareHistory,
+      origins,
       weights,
     ];
     this.supervisor = runtime.Supervisor.create('gateway', tasks, log);
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -28,6 +28,9 @@
   /** The id of the last event; undefined before the first. */
   lastEvent: number | undefined;
 
+  /** The software that wrote the events; undefined when it is not known. */
+  software: string | undefined;
+
   /** The versions of the weights that produced the events. */
   readonly versions = new Set<number>();
 
@@ -71,6 +74,7 @@
     this.events = [];
     this.storedEvents = 0;
     this.lastEvent = undefined;
+    this.software = undefined;
     this.versions.clear();
     this.isTextComplete = false;
     this.score = undefined;
@@ -81,6 +85,7 @@
     if (text.versions.some((version) => version < oldestVersion)) return;
     this.events = [...text.events];
     this.lastEvent = text.events.length === 0 ? undefined : text.lastEvent;
+    this.software = text.software;
     text.versions.forEach((version) => this.versions.add(version));
   }
 
@@ -91,6 +96,7 @@
       events: [...this.events],
       lastEvent: this.lastEvent ?? -1,
       versions: [...this.versions],
+      ...(this.software !== undefined && { software: this.software }),
     };
   }
 
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -78,6 +78,8 @@
   /** The id of the last event; the next run continues after it. */
   readonly lastEvent: number;
   readonly versions: readonly number[];
+  /** The software that wrote it; undefined when it is not known. */
+  readonly software?: string;
 }
 
 /** Fits a row of the store, which takes 64 KiB, with a margin. */
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -12,6 +12,7 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as placement from '../replicas/placement';
+import * as softwares from '../replicas/software';
 import type * as forwarders from '../requests/forwarder';
 import * as itemOrder from './item-order';
 import * as progress from './item-progress';
@@ -179,11 +180,8 @@
     nowMs: number,
   ): directories.TrackedReplica | undefined {
     const { directory, environment, permits } = this.options;
-    const service = routeTables.chooseService(route, environment.random());
-    if (service === undefined) return undefined;
     const { model } = itemProgress.item;
-    let candidates = directory
-      .list(service)
+    let candidates = this.listSuitable(job, itemProgress, route, nowMs)
       .filter((tracked) => {
         const version = directory.getVersion(tracked, model);
         if (version !== undefined && version < job.head.oldestVersion) return false;
@@ -206,6 +204,38 @@
     }
   }
 
+  /**
+   * The replicas that may run an item. A text that has begun goes on where its software serves and
+   * works; when there is no such replica, it is discarded and begins anew anywhere.
+   */
+  private listSuitable(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    route: configurations.Route,
+    nowMs: number,
+  ): directories.TrackedReplica[] {
+    const { directory, environment } = this.options;
+    if (itemProgress.lastEvent !== undefined) {
+      const { software } = itemProgress;
+      const same = route.services
+        .flatMap(({ service }) => directory.list(service))
+        .filter(({ replica }) => softwares.identifySoftware(replica) === software);
+      const isContinued =
+        software !== undefined && same.some(({ health }) => !health.isEjected(nowMs));
+      if (isContinued) return same;
+      environment.log.info('text discarded, as no replica can go on with it', {
+        job: job.id,
+        item: itemProgress.item.id,
+        software,
+        events: itemProgress.events.length,
+      });
+      environment.metrics.count('texts_discarded', {});
+      itemProgress.reset();
+    }
+    const service = routeTables.chooseService(route, environment.random());
+    return service === undefined ? [] : directory.list(service);
+  }
+
   private async runItem(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -53,6 +53,8 @@
     if (!saved) return false;
     this.savedTexts.delete(itemProgress.item.id);
     if (itemProgress.phase === progress.ItemPhase.Done) return false;
+    // Nothing goes on with an incomplete text of unknown software.
+    if (!saved.isComplete && saved.text.software === undefined) return true;
     itemProgress.resumeFrom(saved.text, oldestVersion);
     if (itemProgress.events.length === 0) return true;
     itemProgress.isTextComplete = saved.isComplete;
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -5,6 +5,7 @@
 import type * as environments from '../types/environment';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as softwares from '../replicas/software';
 import * as progress from './item-progress';
 
 /** Properties of the job and its route that a run depends on. */
@@ -141,6 +142,9 @@
       return;
     }
     if (this.version !== undefined) itemProgress.versions.add(this.version);
+    if (itemProgress.lastEvent === undefined) {
+      itemProgress.software = softwares.identifySoftware(tracked.replica);
+    }
     itemProgress.lastEvent = event.id;
     itemProgress.events.push(event.data);
     const nowMs = environment.nowMs();
--- a/packages/gateway/src/requests/call-context.ts
+++ b/packages/gateway/src/requests/call-context.ts
@@ -9,9 +9,13 @@
 export interface CallContext {
   readonly replicaClient: replicas.RequestSender;
   readonly nowMs: () => number;
-  /** Chooses a replica that is not in `tried` and to which the request may be sent now. */
+  /**
+   * Chooses a replica that is not in `tried` and to which the request may be sent now.
+   * @param software the only software with which a stream that has begun may go on
+   */
   readonly chooseReplica: (
     tried: ReadonlySet<string>,
+    software?: string,
   ) => Promise<directories.TrackedReplica | undefined>;
   /** The failure of a request that did not run because no replica could be chosen. */
   readonly createRefusal: () => decisions.Failure;
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -14,6 +14,8 @@
 import type * as guardedRequests from '../quarantine/guarded-request';
 import type * as requestQuarantines from '../quarantine/request-quarantine';
 import * as routeTables from '../configuration/route-table';
+import * as softwares from '../replicas/software';
+import type * as streamOrigins from '../streams/stream-origins';
 import * as plainCalls from './plain-call';
 import * as streamCalls from './stream-call';
 
@@ -24,6 +26,7 @@
   readonly replicaClient: replicas.ReplicaClient;
   readonly quarantine: requestQuarantines.RequestQuarantine;
   readonly permits: permitRequesters.PermitRequester;
+  readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
 }
 
 /** A request that the gateway itself makes. */
@@ -34,6 +37,16 @@
   readonly signal: AbortSignal;
 }
 
+/** What limits the choice of a replica. */
+interface ReplicaChoice {
+  readonly service: string | undefined;
+  readonly priority: number;
+  readonly tried: ReadonlySet<string>;
+  readonly guard?: guardedRequests.GuardedRequest | undefined;
+  /** The only software that may go on with a stream. */
+  readonly software?: string | undefined;
+}
+
 /**
  * An idempotent request without an answer is also sent to another replica (hedged) after this share
  * of the route's latency objective: late enough that few requests to healthy replicas are hedged,
@@ -83,15 +96,31 @@
   ): Promise<streamCalls.StreamCallResult['reply']> {
     const refusal = this.refuse(caller, route);
     if (refusal) return refusal;
-    const { environment, quarantine } = this.options;
-    const { request, signal, afterEvent } = caller;
-    const guard = quarantine.guard(request);
+    const { environment, quarantine, origins } = this.options;
+    const { request, signal, afterEvent, firstAttemptId } = caller;
     const service = routeTables.chooseService(route, environment.random());
+    const software =
+      afterEvent === undefined ? undefined : await origins.find(firstAttemptId, service ?? '');
+    if (afterEvent !== undefined && software === undefined) {
+      const failure = decisions.createFailure('unknown-stream', {
+        retryAfterMs: REFUSAL_RETRY_AFTER_MS,
+      });
+      this.recordReply(caller, route, failure.code, 0);
+      return { kind: 'failure', failure };
+    }
+    const guard = quarantine.guard(request);
     const call = streamCalls.StreamCall.create(
       {
         replicaClient: guard,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, route.priority, tried, guard),
+        chooseReplica: (tried, startedBy) =>
+          this.chooseReplica({
+            service,
+            priority: route.priority,
+            tried,
+            guard,
+            software: startedBy,
+          }),
         createRefusal: () => this.createRefusal(service),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
@@ -100,6 +129,8 @@
         request,
         signal,
         afterEvent,
+        software,
+        onBegun: (begunBy) => origins.record(firstAttemptId ?? request.id, service ?? '', begunBy),
         isResumable: route.isResumable,
         maximumAttempts: route.maximumAttempts,
         callerDeadlineAtMs: caller.receivedMs + (caller.deadlineMs ?? route.timeoutMs),
@@ -179,7 +210,8 @@
       {
         replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) => this.chooseReplica(service, route.priority, tried, guard),
+        chooseReplica: (tried) =>
+          this.chooseReplica({ service, priority: route.priority, tried, guard }),
         createRefusal: () => this.createRefusal(service),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
@@ -196,19 +228,24 @@
     return call.run();
   }
 
-  private async chooseReplica(
-    service: string | undefined,
-    priority: number,
-    tried: ReadonlySet<string>,
-    guard?: guardedRequests.GuardedRequest,
-  ): Promise<directories.TrackedReplica | undefined> {
+  private async chooseReplica({
+    service,
+    priority,
+    tried,
+    guard,
+    software,
+  }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
     const { environment, directory, permits } = this.options;
     const excluded = new Set(tried);
     for (;;) {
       const open = directory
         .list(service)
-        .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica));
+        .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica))
+        .filter(
+          ({ replica }) =>
+            software === undefined || softwares.identifySoftware(replica) === software,
+        );
       const allowed = guard ? guard.selectReplicas(open) : open;
       const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
       const draw = guard ? guard.draw(environment.random) : environment.random();
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -2,12 +2,14 @@
  * One attempt of a caller at a streaming request: complete events are forwarded as they arrive.
  * Before the first byte of an answer the request may be sent to another replica if it certainly did
  * not run. Afterwards a stream that breaks off continues on another replica only if the route is
- * resumable; the caller keeps the head of the first replica's answer.
+ * resumable, and only on a replica with the same software; the caller keeps the head of the first
+ * replica's answer.
  */
 import * as decisions from '@azureworks/decisions';
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as softwares from '../replicas/software';
 import type * as callContexts from './call-context';
 
 /** Options of a streaming call. */
@@ -18,6 +20,10 @@
   readonly callerDeadlineAtMs: number;
   readonly deadlineAtMs: number;
   readonly afterEvent: number | undefined;
+  /** The software that wrote the events up to `afterEvent`. */
+  readonly software: string | undefined;
+  /** Called with the first event of this call and the software that wrote it, if that is known. */
+  readonly onBegun: (software: string) => void;
   /** Longest wait for an event of a resumable stream. */
   readonly idleTimeoutMs: number;
   readonly signal: AbortSignal;
@@ -37,6 +43,12 @@
 
   private lastEvent: number | undefined;
 
+  private software: string | undefined;
+
+  private hasEvents = false;
+
+  private currentSoftware: string | undefined;
+
   private hasSentHead = false;
 
   private isForwarding = false;
@@ -47,6 +59,7 @@
     private readonly reply: exchanges.ReplyStream,
   ) {
     this.lastEvent = options.afterEvent;
+    this.software = options.software;
   }
 
   static create(
@@ -60,9 +73,7 @@
   async run(): Promise<StreamCallResult> {
     let mayHaveRun = false;
     while (this.triedIds.size < Math.max(1, this.options.maximumAttempts)) {
-      const tracked = this.isExpired()
-        ? undefined
-        : await this.context.chooseReplica(this.triedIds);
+      const tracked = this.isExpired() ? undefined : await this.chooseReplica();
       if (!tracked) break;
       const outcome = await this.send(tracked);
       if (outcome.status === replicas.CallStatus.Answered) return this.handleAnswer(outcome.answer);
@@ -83,10 +94,23 @@
 
   receive(event: replicas.StreamEvent): void {
     if (!this.isForwarding || this.options.signal.aborted) return;
+    if (!this.hasEvents) this.recordBeginning();
     this.lastEvent = event.id;
     this.reply.receive(event.raw);
   }
 
+  private recordBeginning(): void {
+    this.hasEvents = true;
+    if (this.lastEvent === undefined) this.software = this.currentSoftware;
+    if (this.software !== undefined) this.options.onBegun(this.software);
+  }
+
+  private async chooseReplica(): Promise<directories.TrackedReplica | undefined> {
+    if (this.lastEvent === undefined) return this.context.chooseReplica(this.triedIds);
+    if (this.software === undefined) return undefined;
+    return this.context.chooseReplica(this.triedIds, this.software);
+  }
+
   private async send(tracked: directories.TrackedReplica): Promise<replicas.StreamOutcome> {
     const { request, callerDeadlineAtMs, deadlineAtMs, isResumable, idleTimeoutMs, signal } =
       this.options;
@@ -96,6 +120,7 @@
     // deadline.
     const eventTimeoutMs = isResumable ? idleTimeoutMs : remainingMs;
     this.triedIds.add(tracked.replica.id);
+    this.currentSoftware = softwares.identifySoftware(tracked.replica);
     tracked.inFlight += 1;
     const outcome = await this.context.replicaClient.stream(
       tracked.replica,
