A stream leaves no event out and repeats none when its next replica does

What callers got: events twice, or events left out, when the replica that went on with a stream ignored or misread Last-Event-Id. Cause: StreamCall passed events on without comparing their ids, as the runs of items do. Change: a run whose next event is not the one after the last is aborted and counts as broken; the stream goes on at another replica or breaks off.

--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -47,6 +47,12 @@
 
   private hasEvents = false;
 
+  /** Aborts the run on the current replica. */
+  private runAbort = new AbortController();
+
+  /** Why the events of the current replica do not continue the stream. */
+  private sequenceFault: string | undefined;
+
   private currentSoftware: string | undefined;
 
   private hasSentHead = false;
@@ -93,7 +99,12 @@
   }
 
   receive(event: replicas.StreamEvent): void {
-    if (!this.isForwarding || this.options.signal.aborted) return;
+    if (!this.isForwarding || this.options.signal.aborted || this.sequenceFault) return;
+    if (this.lastEvent !== undefined && event.id !== this.lastEvent + 1) {
+      this.sequenceFault = `event ${event.id} came after event ${this.lastEvent}`;
+      this.runAbort.abort();
+      return;
+    }
     if (!this.hasEvents) this.recordBeginning();
     this.lastEvent = event.id;
     this.reply.receive(event.raw);
@@ -121,13 +132,15 @@
     const eventTimeoutMs = isResumable ? idleTimeoutMs : remainingMs;
     this.triedIds.add(tracked.replica.id);
     this.currentSoftware = softwares.identifySoftware(tracked.replica);
+    this.runAbort = new AbortController();
+    this.sequenceFault = undefined;
     tracked.inFlight += 1;
-    const outcome = await this.context.replicaClient.stream(
+    const received = await this.context.replicaClient.stream(
       tracked.replica,
       request,
       {
         deadlineMs: remainingMs,
-        signal,
+        signal: AbortSignal.any([signal, this.runAbort.signal]),
         afterEvent: this.lastEvent,
         priority: replicas.DEFAULT_STREAM_PRIORITY,
         firstEventTimeoutMs: eventTimeoutMs,
@@ -136,10 +149,16 @@
       this,
     );
     tracked.inFlight -= 1;
+    const outcome = this.checkSequence(received);
     this.context.recordOutcome(tracked, outcome, this.context.nowMs() - startMs);
     return outcome;
   }
 
+  private checkSequence(outcome: replicas.StreamOutcome): replicas.StreamOutcome {
+    if (!this.sequenceFault) return outcome;
+    return { status: replicas.CallStatus.Broken, reason: this.sequenceFault };
+  }
+
   private handleAnswer(answer: replicas.ReplicaAnswer): StreamCallResult {
     if (answer.status === OK_STATUS) return this.createResult({ kind: 'streamed', isWhole: true });
     // After the head was sent, a failure cannot be reported to the caller any more.
