A replica that says in an answer that it is leaving gets no new requests

Callers: while the store was slow or cut off, requests went on to replicas that were about to leave, and failed there.

Change: the header is decoded on every answer, also on refusals, errors, heads of streams, orders and reports. The first news of an incarnation counts, from an answer or its row, and nothing takes it back; it is bounded in number and time. The replica is out of choice for requests, items, scoring calls, hedges and continuations at once, and finishes what it runs. Its connections are closed once their exchanges ended; what waits for one is not sent, and goes elsewhere. One log line, 'replica leaving', names the source and the age; it replaces 'replica draining'.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,6 +29,7 @@
   QuarantineState,
   type QuarantineVerdict,
 } from './core/quarantine';
+export { DepartureSource, Departures } from './core/departures';
 export { PermitBudget, type PermitDecision, type PermitRequest } from './core/permit-budget';
 export { RetryBudget } from './core/retry-budget';
 export { isRunTooStale, isFresh, measureStaleness } from './core/staleness';
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -29,6 +29,8 @@
   answerMs: number;
   /** The requests per second that it names as its limit; undefined: none. */
   rateLimit: number | undefined;
+  /** Whether it says in its answers that it is leaving. */
+  isLeaving: boolean;
   /** The response to a new connection while the replica has not crashed. */
   listening: gateway.ListeningState;
 }
@@ -70,6 +72,9 @@
   /** Bodies of the requests that crash each replica that runs them. */
   readonly deadlyBodies = new Set<string>();
 
+  /** The replicas whose connections a gateway closed, in this order. */
+  readonly closedConnections: string[] = [];
+
   /** Called when a replica is back after a crash. */
   onRestart: (replica: string) => void = () => {};
 
@@ -101,6 +106,7 @@
         status: 200,
         answerMs: 10,
         rateLimit: undefined,
+        isLeaving: false,
         listening: ListeningState.Accepting,
       };
       this.behaviours.set(id, behaviour);
@@ -175,6 +181,7 @@
     await this.crashIfDeadly(replica, request);
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
+      options.onSignals?.(createSignals(behaviour));
       return { status: CallStatus.NotRun, reason: 'status 503' };
     }
     if (behaviour.isSilent) {
@@ -185,7 +192,7 @@
     if (await pauseUnlessAborted(behaviour.answerMs, options.signal)) {
       return { status: CallStatus.Cancelled, reason: 'aborted' };
     }
-    options.onSignals?.({ rateLimit: behaviour.rateLimit });
+    options.onSignals?.(createSignals(behaviour));
     const { status } = behaviour;
     const signature = status === 200 ? `signature of ${request.id}` : undefined;
     const answer = { status, headers: [], body: Buffer.from('body'), signature };
@@ -215,6 +222,7 @@
     const { afterEvent } = options;
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
+      options.onSignals?.(createSignals(behaviour));
       return { status: CallStatus.NotRun, reason: 'status 503' };
     }
     const startedMs = time.nowMs();
@@ -237,11 +245,12 @@
       behaviour.failedStreams -= 1;
       const isAborted = await pauseUnlessAborted(behaviour.streamFailureMs, options.signal);
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
+      options.onSignals?.(createSignals(behaviour));
       const answer = { status: 500, headers: [], body: Buffer.alloc(0), signature: 'stamp' };
       return { status: CallStatus.Answered, answer, load: undefined };
     }
     const weightVersion = this.versions.get(replica.id) ?? 1;
-    options.onSignals?.({ rateLimit: behaviour.rateLimit });
+    options.onSignals?.(createSignals(behaviour));
     receiver.begin({
       status: 200,
       headers: [],
@@ -271,7 +280,13 @@
     return { status: CallStatus.Answered, answer, load: undefined };
   }
 
-  order(replica: gateway.Replica, order: gateway.WeightsOrder): Promise<gateway.OrderStatus> {
+  order(
+    replica: gateway.Replica,
+    order: gateway.WeightsOrder,
+    _deadlineMs?: number,
+    onSignals?: gateway.CallOptions['onSignals'],
+  ): Promise<gateway.OrderStatus> {
+    onSignals?.(createSignals(this.getBehaviour(replica.id)));
     this.orders.push({ ...order, replica: replica.id, atMs: time.nowMs() });
     setTimeout(() => this.versions.set(replica.id, order.version), 900);
     return Promise.resolve(OrderStatus.Accepted);
@@ -288,13 +303,19 @@
     );
   }
 
-  closeConnections(): void {}
+  closeConnections(replica: gateway.Replica): void {
+    this.closedConnections.push(replica.id);
+  }
 
   close(): Promise<void> {
     return Promise.resolve();
   }
 }
 
+function createSignals({ rateLimit, isLeaving }: ReplicaBehaviour): gateway.ReplicaSignals {
+  return { rateLimit, isLeaving };
+}
+
 /** Waits; returns true if the signal is aborted before the time has passed. */
 function pauseUnlessAborted(durationMs: number, signal: AbortSignal): Promise<boolean> {
   if (signal.aborted) return Promise.resolve(true);
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -278,10 +278,10 @@
     return {
       call: (...call) => unlessDead(() => replicas.call(...call)),
       stream: (...stream) => unlessDead(() => replicas.stream(...stream)),
-      order: (replica, order) => unlessDead(() => replicas.order(replica, order)),
+      order: (...order) => unlessDead(() => replicas.order(...order)),
       fetchReport: (replica) => unlessDead(() => replicas.fetchReport(replica)),
       probe: (replica) => unlessDead(() => replicas.probe(replica)),
-      closeConnections: () => {},
+      closeConnections: (replica) => replicas.closeConnections(replica),
       close: () => Promise.resolve(),
     };
   }
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -127,8 +127,10 @@
     const replicaClient = observedClients.ObservedReplicaClient.create(
       options.replicaClient,
       {
-        onSignals: (replica, { rateLimit }, sentMs) =>
-          limits.limits.record(replica, rateLimit, sentMs),
+        onSignals: (replica, { rateLimit, isLeaving }, sentMs) => {
+          limits.limits.record(replica, rateLimit, sentMs);
+          if (isLeaving) directory.recordLeaving(replica, sentMs);
+        },
       },
       nowMs,
     );
@@ -206,6 +208,7 @@
         runner.scheduleDispatch();
         weights.planOrders();
       },
+      onReplicaLeaving: (tracked) => replicaClient.closeConnections(tracked.replica),
       onReplicaRemoved: (tracked) => replicaClient.closeConnections(tracked.replica),
     });
     const watch = (
--- a/packages/gateway/src/limits/limit-rows.ts
+++ b/packages/gateway/src/limits/limit-rows.ts
@@ -2,7 +2,7 @@
  * The rows in which gateways share the rate limits that replicas named: one for each replica.
  */
 import * as records from '../jobs/job-record';
-import type * as replicas from '../types/replica';
+import type * as incarnations from '../replicas/incarnation';
 import type * as stores from '../types/store';
 
 /**
@@ -11,20 +11,12 @@
  */
 export const RATE_LIMIT_PARTITION = '/rate-limits';
 
-/** The fields of a replica that identify one incarnation of it. */
-export type Incarnation = Pick<replicas.Replica, 'id' | 'address' | 'bornMs'>;
-
 /** The limit of one incarnation of a replica. */
 export interface SharedLimit {
-  readonly replica: Incarnation;
+  readonly replica: incarnations.Incarnation;
   readonly requestsPerSecond: number;
 }
 
-/** Identifies one incarnation of a replica. */
-export function createIncarnationKey({ id, address, bornMs }: Incarnation): string {
-  return `${id}@${address}#${bornMs}`;
-}
-
 export function locateLimit(replicaId: string): stores.RowAddress {
   return { table: records.NOTICES_TABLE, partition: RATE_LIMIT_PARTITION, key: replicaId };
 }
--- a/packages/gateway/src/limits/permit-issuer.ts
+++ b/packages/gateway/src/limits/permit-issuer.ts
@@ -10,6 +10,7 @@
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as rowReporters from '../store/row-reporter';
 import type * as environments from '../types/environment';
+import * as incarnations from '../replicas/incarnation';
 import * as limitRows from './limit-rows';
 import * as permits from './permit';
 import * as rateLimits from './rate-limits';
@@ -56,7 +57,7 @@
 
   /** Answers a gateway that asks for permits, or reports what it heard. */
   answer(query: permits.PermitQuery): permits.PermitReply {
-    const key = limitRows.createIncarnationKey(query.replica);
+    const key = incarnations.createIncarnationKey(query.replica);
     if (!this.isResponsible(query.replica.id)) {
       this.replicas.delete(key);
       return { granted: 0, retryAfterMs: WRONG_ISSUER_RETRY_MS, isLimited: true };
@@ -110,7 +111,7 @@
     this.share(issued, query.replica);
   }
 
-  private share(issued: IssuedReplica, replica: limitRows.Incarnation): void {
+  private share(issued: IssuedReplica, replica: incarnations.Incarnation): void {
     const { reporter } = this.options;
     const { requestsPerSecond, sharedLimit } = issued;
     if (!rateLimits.isDifferentLimit(sharedLimit, requestsPerSecond)) return;
--- a/packages/gateway/src/limits/permit-requester.ts
+++ b/packages/gateway/src/limits/permit-requester.ts
@@ -7,7 +7,7 @@
  */
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as environments from '../types/environment';
-import * as limitRows from './limit-rows';
+import * as incarnations from '../replicas/incarnation';
 import type * as permitIssuers from './permit-issuer';
 import * as permits from './permit';
 import type * as rateLimits from './rate-limits';
@@ -27,7 +27,7 @@
 
 /** The queries for one replica. */
 interface ReplicaQueries {
-  readonly replica: limitRows.Incarnation;
+  readonly replica: incarnations.Incarnation;
   readonly waiters: Waiter[];
   isAsking: boolean;
   /** No query is sent before this time. */
@@ -60,17 +60,17 @@
   }
 
   /** Whether a request to the replica needs a permit. */
-  isNeeded(replica: limitRows.Incarnation): boolean {
+  isNeeded(replica: incarnations.Incarnation): boolean {
     return this.options.limits.get(replica) !== undefined;
   }
 
   /** Whether the issuer told to wait before it is asked again. */
-  isRefused(replica: limitRows.Incarnation): boolean {
+  isRefused(replica: incarnations.Incarnation): boolean {
     return this.getRetryAfterMs(replica) > 0;
   }
 
   /** Resolves to whether one request may be sent to the replica now. */
-  take(replica: limitRows.Incarnation, priority: number): Promise<boolean> {
+  take(replica: incarnations.Incarnation, priority: number): Promise<boolean> {
     if (!this.isNeeded(replica)) return Promise.resolve(true);
     const queries = this.getQueries(replica);
     const nowMs = this.options.environment.nowMs();
@@ -86,7 +86,7 @@
    * Whether one request may be sent to the replica now, without waiting. If not, a permit is
    * requested unless the issuer told to wait; `onPermit` is called when it has come.
    */
-  tryTake(replica: limitRows.Incarnation, priority: number, onPermit: () => void): boolean {
+  tryTake(replica: incarnations.Incarnation, priority: number, onPermit: () => void): boolean {
     if (!this.isNeeded(replica)) return true;
     const queries = this.getQueries(replica);
     const nowMs = this.options.environment.nowMs();
@@ -96,7 +96,7 @@
   }
 
   /** How long no request may be sent to the replica, as far as is known. */
-  getRetryAfterMs(replica: limitRows.Incarnation): number {
+  getRetryAfterMs(replica: incarnations.Incarnation): number {
     if (!this.isNeeded(replica)) return 0;
     const { refusedUntilMs, unusedUntilMs } = this.getQueries(replica);
     const nowMs = this.options.environment.nowMs();
@@ -107,7 +107,7 @@
    * Reports to the issuer what an answer showed.
    * @param sentMs when the request was sent, on the monotonic clock
    */
-  async report(replica: limitRows.Incarnation, sentMs: number): Promise<void> {
+  async report(replica: incarnations.Incarnation, sentMs: number): Promise<void> {
     await this.query(replica, { priority: 0, count: 0 }, sentMs);
   }
 
@@ -125,8 +125,8 @@
     onPermit();
   }
 
-  private getQueries(replica: limitRows.Incarnation): ReplicaQueries {
-    const key = limitRows.createIncarnationKey(replica);
+  private getQueries(replica: incarnations.Incarnation): ReplicaQueries {
+    const key = incarnations.createIncarnationKey(replica);
     const known = this.queries.get(key);
     if (known) return known;
     const queries: ReplicaQueries = {
@@ -182,7 +182,7 @@
 
   /** Asks the issuer; undefined when there is none or it does not answer. */
   private async query(
-    replica: limitRows.Incarnation,
+    replica: incarnations.Incarnation,
     request: Pick<permits.PermitQuery, 'priority' | 'count'>,
     heardMs?: number,
   ): Promise<permits.PermitReply | undefined> {
--- a/packages/gateway/src/limits/permit.ts
+++ b/packages/gateway/src/limits/permit.ts
@@ -4,11 +4,11 @@
  * together however many there are.
  */
 import * as decisions from '@azureworks/decisions';
-import type * as limitRows from './limit-rows';
+import type * as incarnations from '../replicas/incarnation';
 
 /** A gateway asks the issuer for permits; also reports what it heard, with a count of 0. */
 export interface PermitQuery {
-  readonly replica: limitRows.Incarnation;
+  readonly replica: incarnations.Incarnation;
   /** Name of the VM that asks. */
   readonly sender: string;
   /** 0 is the most urgent. */
--- a/packages/gateway/src/limits/rate-limits.ts
+++ b/packages/gateway/src/limits/rate-limits.ts
@@ -4,6 +4,7 @@
  */
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as environments from '../types/environment';
+import * as incarnations from '../replicas/incarnation';
 import * as limitRows from './limit-rows';
 
 /** A limit of one incarnation of a replica. */
@@ -18,7 +19,7 @@
 /** Told of limits that answers to this gateway's own requests named or ended. */
 export interface LimitObserver {
   /** @param sentMs when the request was sent whose answer showed it, on the monotonic clock */
-  onLimitHeard(replica: limitRows.Incarnation, sentMs: number): void;
+  onLimitHeard(replica: incarnations.Incarnation, sentMs: number): void;
 }
 
 /** A limit that changes by less than this share of it is not told anew. */
@@ -44,8 +45,8 @@
   }
 
   /** The limit of a replica; undefined when it names none. */
-  get(replica: limitRows.Incarnation): KnownLimit | undefined {
-    return this.limits.get(limitRows.createIncarnationKey(replica));
+  get(replica: incarnations.Incarnation): KnownLimit | undefined {
+    return this.limits.get(incarnations.createIncarnationKey(replica));
   }
 
   /**
@@ -53,7 +54,7 @@
    * @param sentMs when the request was sent, on the monotonic clock
    */
   record(
-    replica: limitRows.Incarnation,
+    replica: incarnations.Incarnation,
     requestsPerSecond: number | undefined,
     sentMs: number,
   ): void {
@@ -76,18 +77,18 @@
   }
 
   /** Drops a limit that is known only from a row, which was removed. */
-  forget(replica: limitRows.Incarnation): void {
+  forget(replica: incarnations.Incarnation): void {
     if (this.get(replica)?.isHeard === false) this.set(replica, undefined);
   }
 
   /** Records that a limit has ended, unless it was named after `endedMs`. */
-  end(replica: limitRows.Incarnation, endedMs: number): void {
+  end(replica: incarnations.Incarnation, endedMs: number): void {
     const former = this.get(replica);
     if (former && former.sinceMs <= endedMs) this.set(replica, undefined);
   }
 
-  private set(replica: limitRows.Incarnation, limit: KnownLimit | undefined): void {
-    const key = limitRows.createIncarnationKey(replica);
+  private set(replica: incarnations.Incarnation, limit: KnownLimit | undefined): void {
+    const key = incarnations.createIncarnationKey(replica);
     const former = this.limits.get(key);
     if (limit) this.limits.set(key, limit);
     else this.limits.delete(key);
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -1,14 +1,17 @@
 /**
  * Service discovery: tracks the replicas from the rows in which they register themselves.
  *
- * A replica that is draining or whose row was removed gets no new requests; those in flight
- * continue. Right after an outage of the store, rows may be missing only until their replicas
+ * A replica that is leaving or whose row was removed gets no new requests; those in flight
+ * continue. That it is leaving is learned from its answers as well as from its row, whichever comes
+ * first. Right after an outage of the store, rows may be missing only until their replicas
  * renew them. A replica is then removed only if its row is still missing after a grace period.
  */
+import * as decisions from '@azureworks/decisions';
 import type * as environments from '../types/environment';
 import type * as replicas from '../types/replica';
 import * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
+import * as incarnations from './incarnation';
 import * as replicaHealths from './replica-health';
 import type * as placement from './placement';
 
@@ -39,6 +42,8 @@
 /** Notified of registered, changed and removed replicas. */
 export interface DirectoryObserver {
   onReplicaChanged(tracked: TrackedReplica): void;
+  /** Called once for each incarnation, when it is first known to leave. */
+  onReplicaLeaving?(tracked: TrackedReplica): void;
   onReplicaRemoved(tracked: TrackedReplica): void;
 }
 
@@ -62,7 +67,11 @@
 
   private readonly observers: DirectoryObserver[] = [];
 
-  private constructor(private readonly options: ReplicaDirectoryOptions) {}
+  private readonly departures: decisions.Departures;
+
+  private constructor(private readonly options: ReplicaDirectoryOptions) {
+    this.departures = decisions.Departures.create({ nowMs: options.environment.nowMs });
+  }
 
   static create(options: ReplicaDirectoryOptions): ReplicaDirectory {
     return new ReplicaDirectory(options);
@@ -75,11 +84,25 @@
   /** The replicas of a service that accept new requests. */
   list(service: string): TrackedReplica[] {
     return [...this.tracked.values()].filter(
-      (tracked) => tracked.replica.service === service && !tracked.replica.isDraining,
+      ({ replica }) => replica.service === service && !this.isLeaving(replica),
     );
   }
 
-  /** All registered replicas, including draining ones. */
+  /** Whether a replica is leaving, so that it is to get no new requests. */
+  isLeaving(replica: replicas.Replica): boolean {
+    return this.departures.isLeaving(incarnations.createIncarnationKey(replica));
+  }
+
+  /**
+   * Records that a replica said in an answer that it is leaving.
+   * @param sentMs when the request was sent, on the monotonic clock
+   */
+  recordLeaving(replica: replicas.Replica, sentMs: number): void {
+    const ageMs = this.options.environment.nowMs() - sentMs;
+    this.recordDeparture(replica, decisions.DepartureSource.Answer, ageMs);
+  }
+
+  /** All registered replicas, including those that are leaving. */
   listAll(): TrackedReplica[] {
     return [...this.tracked.values()];
   }
@@ -154,9 +177,27 @@
     const tracked = former && isSameIncarnation ? former : createTracked(replica);
     tracked.replica = replica;
     this.tracked.set(replica.id, tracked);
+    if (replica.isDraining) {
+      this.recordDeparture(replica, decisions.DepartureSource.Registry, 0);
+    }
     this.observers.forEach((observer) => observer.onReplicaChanged(tracked));
   }
 
+  private recordDeparture(
+    replica: replicas.Replica,
+    source: decisions.DepartureSource,
+    ageMs: number,
+  ): void {
+    if (!this.departures.record(incarnations.createIncarnationKey(replica))) return;
+    const { log, metrics } = this.options.environment;
+    const { id, service, bornMs } = replica;
+    metrics.count('replicas_leaving', { service, source });
+    log.info('replica leaving', { replica: id, service, bornMs, source, ageMs: Math.round(ageMs) });
+    const tracked = this.tracked.get(id);
+    if (tracked?.replica.bornMs !== bornMs || tracked.replica.address !== replica.address) return;
+    this.observers.forEach((observer) => observer.onReplicaLeaving?.(tracked));
+  }
+
   private removeOrDefer(id: string): void {
     if (!this.tracked.has(id) || this.removalTimers.has(id)) return;
     if (this.options.isStoreStable()) {
@@ -194,8 +235,6 @@
         isDraining,
         softwareVersion,
       });
-    } else if (former.isDraining !== replica.isDraining) {
-      log.info('replica draining', { replica: replica.id, isDraining: replica.isDraining });
     }
   }
 }
--- a/packages/gateway/src/replicas/observed-client.ts
+++ b/packages/gateway/src/replicas/observed-client.ts
@@ -1,6 +1,6 @@
 /**
- * Reports what replicas tell about themselves in their answers. Every request that the gateway sends
- * on behalf of a caller or for a batch job passes through here, whichever part of the gateway sends it.
+ * Reports what replicas tell about themselves in their answers. Everything that the gateway sends to a
+ * replica passes through here, whichever part of the gateway sends it.
  */
 import type * as replicas from '../types/replica';
 
@@ -43,14 +43,19 @@
     return this.client.stream(replica, request, this.observe(replica, options), receiver);
   }
 
-  order(...order: Parameters<replicas.ReplicaClient['order']>): Promise<replicas.OrderStatus> {
-    return this.client.order(...order);
+  order(
+    replica: replicas.Replica,
+    order: replicas.WeightsOrder,
+    deadlineMs: number,
+  ): Promise<replicas.OrderStatus> {
+    return this.client.order(replica, order, deadlineMs, this.createListener(replica));
   }
 
   fetchReport(
-    ...query: Parameters<replicas.ReplicaClient['fetchReport']>
+    replica: replicas.Replica,
+    deadlineMs: number,
   ): Promise<replicas.ReplicaReport | undefined> {
-    return this.client.fetchReport(...query);
+    return this.client.fetchReport(replica, deadlineMs, this.createListener(replica));
   }
 
   probe(...probe: Parameters<replicas.ReplicaClient['probe']>): Promise<replicas.ListeningState> {
@@ -69,13 +74,11 @@
     replica: replicas.Replica,
     options: Options,
   ): Options {
+    return { ...options, onSignals: this.createListener(replica) };
+  }
+
+  private createListener(replica: replicas.Replica): (signals: replicas.ReplicaSignals) => void {
     const sentMs = this.nowMs();
-    return {
-      ...options,
-      onSignals: (signals: replicas.ReplicaSignals) => {
-        this.observer.onSignals(replica, signals, sentMs);
-        options.onSignals?.(signals);
-      },
-    };
+    return (signals) => this.observer.onSignals(replica, signals, sentMs);
   }
 }
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -46,6 +46,8 @@
    * limit.
    */
   readonly rateLimit: number | undefined;
+  /** Whether it is about to leave: it finishes what it runs, and is to get nothing new. */
+  readonly isLeaving: boolean;
 }
 
 /** A request to a replica. */
@@ -221,12 +223,24 @@
 
 /** Client for calls to replicas. */
 export interface ReplicaClient extends RequestSender {
-  order(replica: Replica, order: WeightsOrder, deadlineMs: number): Promise<OrderStatus>;
+  order(
+    replica: Replica,
+    order: WeightsOrder,
+    deadlineMs: number,
+    onSignals?: CallOptions['onSignals'],
+  ): Promise<OrderStatus>;
   /** Asks a replica for its state; undefined when it does not answer. */
-  fetchReport(replica: Replica, deadlineMs: number): Promise<ReplicaReport | undefined>;
+  fetchReport(
+    replica: Replica,
+    deadlineMs: number,
+    onSignals?: CallOptions['onSignals'],
+  ): Promise<ReplicaReport | undefined>;
   /** Opens a new connection to a replica and closes it at once. */
   probe(replica: Replica, timeoutMs: number): Promise<ListeningState>;
-  /** Closes the connections to a removed replica. */
+  /**
+   * Closes the connections to a replica once their exchanges have ended. Requests that wait for one
+   * are not sent.
+   */
   closeConnections(replica: Replica): void;
   close(): Promise<void>;
 }
