Scoring calls beyond what the replicas take wait at the gateway, group by group

Callers and trainers: once replicas of a plain service named limits, the others were kept busy refusing scoring calls. Callers behind them were late or refused, and no group was scored whole.

Class: repetitions without a budget. Change: a scoring call only goes to a replica with a free slot; the others wait in one queue, the oldest job first and one group after the other, and are tried when a call has found a replica or has ended, and every 30 ms.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -18,6 +18,7 @@
 import * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
 import * as scoring from './scoring';
+import * as scoringQueues from './scoring-queue';
 import * as streamRuns from './stream-run';
 
 export interface JobRunnerOptions {
@@ -52,7 +53,11 @@
 
   private isDispatchScheduled = false;
 
-  private constructor(private readonly options: JobRunnerOptions) {}
+  private readonly scoringQueue: scoringQueues.ScoringQueue;
+
+  private constructor(private readonly options: JobRunnerOptions) {
+    this.scoringQueue = scoringQueues.ScoringQueue.create(options.environment);
+  }
 
   static create(options: JobRunnerOptions): JobRunner {
     return new JobRunner(options);
@@ -314,7 +319,9 @@
   ): Promise<void> {
     itemProgress.phase = progress.ItemPhase.Scoring;
     itemProgress.isTextComplete = true;
-    const end = await scoring.scoreItem(this.options, job, itemProgress);
+    const { environment, forwarder } = this.options;
+    const scoringOptions = { environment, forwarder, queue: this.scoringQueue };
+    const end = await scoring.scoreItem(scoringOptions, job, itemProgress);
     if (!job.isOpen) return;
     if (end.kind === 'scored')
       job.finishItem(itemProgress, jobs.ResultState.Completed, { cause: 'scored' });
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -5,10 +5,12 @@
 import type * as forwarders from '../requests/forwarder';
 import type * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
+import type * as scoringQueues from './scoring-queue';
 
 export interface ScoringOptions {
   readonly environment: environments.Environment;
   readonly forwarder: forwarders.Forwarder;
+  readonly queue: scoringQueues.ScoringQueue;
 }
 
 /** How scoring ended; `abandoned` when the job was closed first. */
@@ -20,7 +22,7 @@
 
 /** Timeout of one scoring call; a call usually takes tens of milliseconds. */
 const SCORING_TIMEOUT_MS = 1500;
-/** Backoff after a call that found no replica or got no score. */
+/** Backoff after a call that got no score. */
 const RETRY_BACKOFF_MS = 60;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
@@ -44,6 +46,8 @@
   });
   if (!scoring || itemProgress.score !== undefined) return createEnd('scored');
   const path = scoring.path.split('?')[0] ?? scoring.path;
+  const rank = { submittedMs: job.head.submittedMs, position: itemProgress.index };
+  if (!options.queue.isEmpty) await options.queue.wait(rank);
   while (job.isOpen) {
     const end = await options.forwarder.send({
       request: {
@@ -57,7 +61,9 @@
       path,
       deadlineMs: SCORING_TIMEOUT_MS,
       signal: new AbortController().signal,
+      onPlaced: () => options.queue.resumeNext(),
     });
+    if (end.attempts > 0) options.queue.resumeNext();
     const answer = end.reply.kind === 'answer' ? end.reply.answer : undefined;
     const isOk =
       answer && answer.status >= FIRST_SUCCESS_STATUS && answer.status < FIRST_REDIRECT_STATUS;
@@ -79,7 +85,9 @@
       mostAttempts,
     });
     if (failedAnswers >= mostAttempts) return createEnd('failed');
-    await options.environment.pause(RETRY_BACKOFF_MS);
+    if (end.attempts > 0) await options.environment.pause(RETRY_BACKOFF_MS);
+    else await options.queue.wait(rank);
   }
+  options.queue.resumeNext();
   return createEnd('abandoned');
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -35,6 +35,8 @@
   readonly path: string;
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** Called when a replica was found for the request, before it is sent. */
+  readonly onPlaced?: () => void;
 }
 
 /** What limits the choice of a replica. */
@@ -45,6 +47,8 @@
   readonly guard?: guardedRequests.GuardedRequest | undefined;
   /** The only software that may go on with a stream. */
   readonly software?: string | undefined;
+  /** Whether the request is not to queue at a replica, behind others or before them. */
+  readonly needsFreeSlot?: boolean;
 }
 
 /**
@@ -181,7 +185,10 @@
     return this.options.configuration.routeTable?.find(host, path)?.maximumAttempts ?? 0;
   }
 
-  /** Sends one of the gateway's own requests to a service of the route for its host and path. */
+  /**
+   * Sends one of the gateway's own requests to a service of the route for its host and path. It can
+   * wait, so it is refused rather than queued at a replica before the requests of callers.
+   */
   async send(internalRequest: InternalRequest): Promise<plainCalls.PlainCallResult> {
     const route = this.options.configuration.routeTable?.find(
       internalRequest.request.host,
@@ -199,7 +206,7 @@
   }
 
   private callReplicas(
-    { request, signal }: Pick<InternalRequest, 'request' | 'signal'>,
+    { request, signal, onPlaced }: Pick<InternalRequest, 'request' | 'signal' | 'onPlaced'>,
     route: configurations.Route,
     deadlines: { readonly callerDeadlineAtMs: number; readonly deadlineAtMs: number },
     guard?: guardedRequests.GuardedRequest,
@@ -210,8 +217,19 @@
       {
         replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
-        chooseReplica: (tried) =>
-          this.chooseReplica({ service, priority: route.priority, tried, guard }),
+        chooseReplica: async (tried) => {
+          const { priority } = route;
+          const needsFreeSlot = guard === undefined;
+          const chosen = await this.chooseReplica({
+            service,
+            priority,
+            tried,
+            guard,
+            needsFreeSlot,
+          });
+          if (chosen) onPlaced?.();
+          return chosen;
+        },
         createRefusal: () => this.createRefusal(service),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
@@ -234,6 +252,7 @@
     tried,
     guard,
     software,
+    needsFreeSlot = false,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
     const { environment, directory, permits } = this.options;
@@ -245,7 +264,8 @@
         .filter(
           ({ replica }) =>
             software === undefined || softwares.identifySoftware(replica) === software,
-        );
+        )
+        .filter((tracked) => !needsFreeSlot || directory.getLoad(tracked) < tracked.replica.slots);
       const allowed = guard ? guard.selectReplicas(open) : open;
       const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
       const draw = guard ? guard.draw(environment.random) : environment.random();
