Test of the scoring order: the older job is submitted first

The last edit of the test before its commit submitted both jobs at the same time, so neither was older and the test failed. Jobs are submitted one after the other again; it passes.

--- a/packages/gateway/__tests__/scoring-queue.test.ts
+++ b/packages/gateway/__tests__/scoring-queue.test.ts
@@ -53,7 +53,8 @@
     jobs
       .flatMap((job) => job.items)
       .forEach((item) => system.replicas.eventCounts.set(item.id, EVENTS));
-    await Promise.all(jobs.map((job) => time.settle(entry.jobs.submit(job))));
+    await time.settle(entry.jobs.submit(jobs[0]));
+    await time.settle(entry.jobs.submit(jobs[1]));
     await time.advance(JOB_MS);
     const scored = system.replicas.calls.map(({ id }) => id);
     const lastOld = scored.findLastIndex((id) => id.startsWith('score-old'));
