The daemon's entries resume an answer only at the software version that began it

Callers of the product's own entries: an answer that broke off went on at an engine of another software version.

Change: a target's settings may name software_version, which it tells on its link; an answer goes on only at a target with the version of the one that began it. Targets that name none are of one version, as the operator says so by leaving it out. When no target of the version is left, an answer that was sent in part ends as failed after the usual wait, and one that was only collected begins anew. Daemons of the former code name no version, and read past the new field.

--- a/packages/configuration/src/core/settings.ts
+++ b/packages/configuration/src/core/settings.ts
@@ -40,6 +40,7 @@
   service: fields.name(),
   kind: fields.oneOf([TargetKind.Engine, TargetKind.Service]),
   url: fields.url(),
+  software_version: fields.name().optional(),
 };
 
 const tlsShape = {
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -2,7 +2,8 @@
  * A call: one request, attempted until it is answered or has to fail.
  *
  * An attempt is retried only if its verdict allows that. A stream that breaks off is resumed at
- * another target after the last complete event. When the answer of an attempt at a non-idempotent
+ * another target with the same software version after the last complete event. When there is none, a
+ * stream that was not sent to its caller yet begins anew. When the answer of an attempt at a non-idempotent
  * request is lost, the call first asks the target daemon for the outcome of that attempt.
  */
 import * as decisions from '@azureworks/decisions';
@@ -50,6 +51,9 @@
 
   private resume: joiners.ResumePoint | undefined;
 
+  /** The target at which the answer so far began. */
+  private begunBy: directories.TrackedTarget['hello'] | undefined;
+
   private attempt: attempts.Attempt | undefined;
 
   private isAborted = false;
@@ -146,6 +150,7 @@
     while (!this.isAborted) {
       const nowMs = clock.nowMs();
       if (nowMs >= this.request.deadlineMs) return this.refuse('deadline-exceeded');
+      this.beginAnewIfStranded();
       const target = this.chooseTarget(directory);
       if (target) return neverthrow.ok(target);
       if (nowMs >= waitUntilMs) return this.refuse('no-target');
@@ -155,12 +160,23 @@
     return this.refuse('no-target');
   }
 
+  /** Discards an answer that no target can go on with, unless a part of it was sent. */
+  private beginAnewIfStranded(): void {
+    const { begunBy, request, sink } = this;
+    if (!begunBy || sink) return;
+    if (this.context.directory.hasSameSoftware(begunBy, request.model)) return;
+    this.joiner.discard();
+    this.resume = undefined;
+    this.begunBy = undefined;
+  }
+
   private chooseTarget(
     directory: directories.TargetDirectory,
   ): directories.TrackedTarget | undefined {
     const { service, affinityHash, model } = this.request;
     const placement = affinityHash === undefined ? {} : { affinityHash };
-    return directory.choose({ service, placement, excluded: this.excludedTargets, model });
+    const { begunBy, excludedTargets: excluded } = this;
+    return directory.choose({ service, placement, excluded, model, begunBy });
   }
 
   private createPlace(target: directories.TrackedTarget): settlements.AttemptPlace {
@@ -243,10 +259,15 @@
       return neverthrow.err(this.combine({ ...failure, verdict }));
     }
     this.context.metrics.count('retries', { service: this.request.service, verdict });
-    if (this.request.isStreamed) this.resume = this.joiner.prepareResume();
+    if (this.request.isStreamed) this.prepareResume(target);
     return undefined;
   }
 
+  private prepareResume(target: directories.TrackedTarget): void {
+    this.resume = this.joiner.prepareResume();
+    if (this.resume) this.begunBy ??= target.hello;
+  }
+
   private settle(place: settlements.AttemptPlace): Promise<settlements.Settlement> {
     const remainingMs = this.request.deadlineMs - this.context.clock.nowMs();
     return this.context.settler.settle(
--- a/packages/daemon/src/entry/stream-joiner.ts
+++ b/packages/daemon/src/entry/stream-joiner.ts
@@ -95,6 +95,14 @@
     return tail.subarray(-STREAM_END.length).equals(STREAM_END);
   }
 
+  /** Discards the whole answer, so that the next target begins it anew. */
+  discard(): void {
+    this.dropPartialEvent();
+    this.forwarded.length = 0;
+    this.forwardedBytes = 0;
+    this.isResumed = false;
+  }
+
   /** Drops a partial event; returns where to resume, or undefined to start from the beginning. */
   prepareResume(): ResumePoint | undefined {
     this.dropPartialEvent();
--- a/packages/daemon/src/entry/target-directory.ts
+++ b/packages/daemon/src/entry/target-directory.ts
@@ -37,6 +37,8 @@
   readonly excluded: ReadonlySet<string>;
   /** The model whose weights the target must have loaded; undefined for plain services. */
   readonly model: string | undefined;
+  /** The target that began the answer: only those with its software version may go on with it. */
+  readonly begunBy?: links.TargetHello | undefined;
 }
 
 /** The routing policies by name. */
@@ -162,11 +164,16 @@
     return healthy.length * 2 >= reachable.length ? healthy : reachable;
   }
 
+  /** Whether a target that may get new work has the software version of another target. */
+  hasSameSoftware(begunBy: links.TargetHello, model: string | undefined): boolean {
+    return this.listAvailable(begunBy.service, model).some((target) => mayGoOn(target, begunBy));
+  }
+
   /** Chooses a target; returns undefined when none is available. */
   choose(query: TargetQuery): TrackedTarget | undefined {
     const nowMs = this.clock.nowMs();
     const available = this.listAvailable(query.service, query.model).filter(
-      (target) => !query.excluded.has(target.hello.name),
+      (target) => !query.excluded.has(target.hello.name) && mayGoOn(target, query.begunBy),
     );
     available.forEach((target) => {
       target.candidate.slowStartFactor = computeWarmth(target, nowMs);
@@ -240,6 +247,10 @@
   }
 }
 
+function mayGoOn(target: TrackedTarget, begunBy: links.TargetHello | undefined): boolean {
+  return begunBy === undefined || target.hello.softwareVersion === begunBy.softwareVersion;
+}
+
 function hasModel(target: TrackedTarget, model: string | undefined): boolean {
   if (model === undefined) return true;
   const version = target.weightVersions[model];
--- a/packages/daemon/src/target/links-task.ts
+++ b/packages/daemon/src/target/links-task.ts
@@ -103,6 +103,7 @@
       address: daemon.address,
       httpPort: this.options.readHttpPort(),
       incarnation,
+      ...(target.software_version !== undefined && { softwareVersion: target.software_version }),
     });
     if (this.options.state.isDraining) link.send({ kind: links.LinkMessageKind.Leaving });
     this.sendLoad(openLink);
--- a/packages/links/src/types/messages.ts
+++ b/packages/links/src/types/messages.ts
@@ -196,6 +196,8 @@
     address: name,
     httpPort: port,
     incarnation: count,
+    /** The version of the target's software; targets that name none are of one version. */
+    softwareVersion: name.optional(),
   }),
   zod.object({ kind: zod.literal(LinkMessageKind.Load), load: loadSchema }),
   zod.object({ kind: zod.literal(LinkMessageKind.Leaving) }),
