--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -184,6 +184,8 @@
     await time.advance(1000);
     expect(listEvidence()).toHaveLength(1);
     system.replicas.deadlyBodies.clear();
+    // With one attempt, the replica that crashed would refuse it until it is back.
+    await time.advance(fakeReplicas.RESTART_MS);
     expect(await sendAndSettle(second, DEADLY)).toBe('200');
     await time.advance(1000);
     expect(listEvidence()).toEqual([]);
--- a/packages/gateway/src/jobs/bounded-map.ts
+++ b/packages/gateway/src/jobs/bounded-map.ts
@@ -18,6 +18,10 @@
     return [...this.entries];
   }
 
+  get size(): number {
+    return this.entries.size;
+  }
+
   get(key: string): Value | undefined {
     return this.entries.get(key);
   }
--- a/packages/gateway/src/limits/rate-limits.ts
+++ b/packages/gateway/src/limits/rate-limits.ts
@@ -46,6 +46,7 @@
 
   /** The limit of a replica; undefined when it names none. */
   get(replica: incarnations.Incarnation): KnownLimit | undefined {
+    if (this.limits.size === 0) return undefined;
     return this.limits.get(incarnations.createIncarnationKey(replica));
   }
 
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -19,6 +19,8 @@
 export interface TrackedReplica {
   replica: replicas.Replica;
   readonly health: replicaHealths.ReplicaHealth;
+  /** Whether it is about to leave, so that it gets no new requests. */
+  isLeaving: boolean;
   /** Requests of this gateway that it is processing. */
   inFlight: number;
   /** Requests of other gateways, derived from the load in the replica's last answer. */
@@ -84,15 +86,10 @@
   /** The replicas of a service that accept new requests. */
   list(service: string): TrackedReplica[] {
     return [...this.tracked.values()].filter(
-      ({ replica }) => replica.service === service && !this.isLeaving(replica),
+      (tracked) => tracked.replica.service === service && !tracked.isLeaving,
     );
   }
 
-  /** Whether a replica is leaving, so that it is to get no new requests. */
-  isLeaving(replica: replicas.Replica): boolean {
-    return this.departures.isLeaving(incarnations.createIncarnationKey(replica));
-  }
-
   /**
    * Records that a replica said in an answer that it is leaving.
    * @param sentMs when the request was sent, on the monotonic clock
@@ -174,7 +171,8 @@
       former?.replica.bornMs === replica.bornMs && former.replica.address === replica.address;
     if (former && !isSameIncarnation) this.remove(replica.id, 'started again');
     this.logChange(isSameIncarnation ? former?.replica : undefined, replica);
-    const tracked = former && isSameIncarnation ? former : createTracked(replica);
+    const isLeaving = this.departures.isLeaving(incarnations.createIncarnationKey(replica));
+    const tracked = former && isSameIncarnation ? former : createTracked(replica, isLeaving);
     tracked.replica = replica;
     this.tracked.set(replica.id, tracked);
     if (replica.isDraining) {
@@ -195,6 +193,7 @@
     log.info('replica leaving', { replica: id, service, bornMs, source, ageMs: Math.round(ageMs) });
     const tracked = this.tracked.get(id);
     if (tracked?.replica.bornMs !== bornMs || tracked.replica.address !== replica.address) return;
+    tracked.isLeaving = true;
     this.observers.forEach((observer) => observer.onReplicaLeaving?.(tracked));
   }
 
@@ -239,9 +238,10 @@
   }
 }
 
-function createTracked(replica: replicas.Replica): TrackedReplica {
+function createTracked(replica: replicas.Replica, isLeaving: boolean): TrackedReplica {
   return {
     replica,
+    isLeaving,
     health: replicaHealths.ReplicaHealth.create(),
     inFlight: 0,
     otherGatewaysLoad: 0,
--- a/packages/gateway/src/replicas/incarnation.ts
+++ b/packages/gateway/src/replicas/incarnation.ts
@@ -6,6 +6,14 @@
 /** The fields that identify an incarnation. */
 export type Incarnation = Pick<replicas.Replica, 'id' | 'address' | 'bornMs'>;
 
-export function createIncarnationKey({ id, address, bornMs }: Incarnation): string {
-  return `${id}@${address}#${bornMs}`;
+/** Placement looks every replica up for every waiting item, so the keys are kept. */
+const keys = new WeakMap<Incarnation, string>();
+
+export function createIncarnationKey(incarnation: Incarnation): string {
+  const known = keys.get(incarnation);
+  if (known !== undefined) return known;
+  const { id, address, bornMs } = incarnation;
+  const key = `${id}@${address}#${bornMs}`;
+  keys.set(incarnation, key);
+  return key;
 }
--- a/packages/gateway/src/streams/origin-rows.ts
+++ b/packages/gateway/src/streams/origin-rows.ts
@@ -39,9 +39,9 @@
   }));
 }
 
-/** The rows of streams that began before a time of the store. */
-export function listExpiredRanges(beforeMs: number): stores.RowRange[] {
-  return listOriginRanges(0).map((range) => ({ ...range, to: createTimeKey(beforeMs) }));
+/** Whether the streams in a row began before a time of the store. */
+export function isOlder(row: stores.Row, beforeMs: number): boolean {
+  return row.key < createTimeKey(beforeMs);
 }
 
 /** @param writer identifies the process and the write */
--- a/packages/gateway/src/streams/stream-origins.ts
+++ b/packages/gateway/src/streams/stream-origins.ts
@@ -59,6 +59,9 @@
 
   private writeCount = 0;
 
+  /** Whether rows may be left that no stream needs any more. */
+  private needsCleanup = true;
+
   /** The time of the store up to which the rows have been read. */
   private readUntilMs = -Infinity;
 
@@ -91,6 +94,7 @@
 
   /** Stores the streams that began before a service got a second version of its software. */
   onMixed(service: string): void {
+    this.needsCleanup = true;
     const oldestMs = this.options.environment.nowMs() - softwareHistories.STREAM_LIFETIME_MS;
     this.known
       .list()
@@ -193,12 +197,16 @@
   private async cleanUp(): Promise<void> {
     const { environment, store, listWorkers } = this.options;
     const workers = listWorkers().map(({ vm }) => vm);
-    if (decisions.chooseNode(this.name, workers) !== environment.vm) return;
+    const isResponsible = decisions.chooseNode(this.name, workers) === environment.vm;
+    if (!this.needsCleanup || !isResponsible) return;
+    this.needsCleanup = false;
     const beforeMs = store.nowMs - 2 * softwareHistories.STREAM_LIFETIME_MS;
-    if (beforeMs <= 0) return;
-    for (const range of originRows.listExpiredRanges(beforeMs)) {
+    for (const range of originRows.listOriginRanges(0)) {
       const outcome = await store.read(range);
-      const rows = outcome.status === stores.StoreStatus.Done ? outcome.rows : [];
+      const all = outcome.status === stores.StoreStatus.Done ? outcome.rows : [];
+      const rows = all.filter((row) => originRows.isOlder(row, beforeMs));
+      // Rows that are still needed, or could not be read, are left to a later search.
+      this.needsCleanup ||= rows.length < all.length || outcome.status !== stores.StoreStatus.Done;
       for (let start = 0; start < rows.length; start += CLEANUP_ROWS) {
         const removals = rows
           .slice(start, start + CLEANUP_ROWS)
