Scoring calls of one route do not hold up those of another

Cause: in review of the scoring queue: calls that wait for busy replicas, or whose route was removed, stood before calls of another route whose replicas are free. Change: each route has a queue of its own. A permit that comes for a replica which said meanwhile that it is leaving is not used.

--- a/packages/gateway/__tests__/scoring-queue.test.ts
+++ b/packages/gateway/__tests__/scoring-queue.test.ts
@@ -47,6 +47,28 @@
     if (page.isOk) expect(page.value.results).toHaveLength(job.items.length);
   });
 
+  it('do not hold up the calls of another route, whose replicas are free', async () => {
+    const entry = await system.start('vm-1');
+    system.replicas.getBehaviour('p1').isSilent = true;
+    system.addReplica('o1', { isOther: true });
+    const [busy, free] = ['busy', 'free'].map((id) => systems.createJob(id, 2, GROUP_SIZE));
+    const items = free.items.map((item) => ({
+      ...item,
+      scoring: item.scoring && { ...item.scoring, path: '/other/score' },
+    }));
+    [...busy.items, ...items].forEach((item) => {
+      system.replicas.eventCounts.set(item.id, EVENTS);
+    });
+    await time.settle(entry.jobs.submit(busy));
+    await time.settle(entry.jobs.submit({ ...free, items }));
+    await time.advance(3000);
+    const page = await time.settle(
+      entry.jobs.results.read('free', 0, 0, new AbortController().signal),
+    );
+    expect(page).toMatchObject({ isOk: true });
+    if (page.isOk) expect(page.value.results).toHaveLength(items.length);
+  });
+
   it('are made for one group after the other, the oldest job first', async () => {
     const entry = await system.start('vm-1');
     const jobs = [systems.createJob('old', 3, GROUP_SIZE), systems.createJob('new', 3, GROUP_SIZE)];
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -8,6 +8,7 @@
 
 const ENGINE_SERVICE = 'engines';
 const PLAIN_SERVICE = 'plain';
+const OTHER_SERVICE = 'other';
 /** One way between two gateways. */
 const PEER_DELAY_MS = 1;
 export const HOST = 'trainer.example';
@@ -63,6 +64,13 @@
         isResumable: true,
         services: [{ service: ENGINE_SERVICE, weight: 1 }],
       },
+      {
+        ...base,
+        name: 'other',
+        pathPrefix: '/other/',
+        kind: gateway.RouteKind.Idempotent,
+        services: [{ service: OTHER_SERVICE, weight: 1 }],
+      },
     ].filter((route) => !options.hasNoRollout || route.kind !== gateway.RouteKind.Rollout),
     services: new Map([
       [
@@ -180,6 +188,8 @@
     id: string,
     options: {
       readonly isPlain?: boolean;
+      /** Whether it is of the other plain service. */
+      readonly isOther?: boolean;
       readonly version?: number;
       readonly bornMs?: number;
       readonly isDraining?: boolean;
@@ -188,7 +198,7 @@
     } = {},
   ): void {
     const value = JSON.stringify({
-      service: options.isPlain ? PLAIN_SERVICE : ENGINE_SERVICE,
+      service: chooseService(options),
       version: options.version ?? 1,
       isDraining: options.isDraining ?? false,
       bornMs: options.bornMs ?? 1,
@@ -323,6 +333,14 @@
   }
 }
 
+function chooseService(options: {
+  readonly isPlain?: boolean;
+  readonly isOther?: boolean;
+}): string {
+  if (options.isOther) return OTHER_SERVICE;
+  return options.isPlain ? PLAIN_SERVICE : ENGINE_SERVICE;
+}
+
 function decodeReplica(row: gateway.Row): gateway.Replica | undefined {
   try {
     const parsed = JSON.parse(row.value.toString()) as {
--- a/packages/gateway/src/jobs/scoring-queue.ts
+++ b/packages/gateway/src/jobs/scoring-queue.ts
@@ -6,7 +6,8 @@
  * Calls that are tried again one by one in any order keep the replicas busy refusing, and leave every
  * group with a text or two without a score. The oldest job therefore comes first, and within it one
  * group after the other; a call is tried when another one has found a replica or has ended, and from
- * time to time, as other gateways use the same replicas.
+ * time to time, as other gateways use the same replicas. The calls of each route wait apart, as they
+ * need different replicas.
  */
 import type * as environments from '../types/environment';
 
@@ -25,11 +26,9 @@
 /** Interval at which the first waiting call is tried. */
 const RETRY_INTERVAL_MS = 30;
 
-/** The waiting scoring calls of one gateway. */
+/** The waiting scoring calls of one gateway, by route. */
 export class ScoringQueue {
-  private readonly waiting: WaitingCall[] = [];
-
-  private isRetrying = false;
+  private readonly waiting = new Map<string, WaitingCall[]>();
 
   private constructor(private readonly environment: environments.Environment) {}
 
@@ -37,33 +36,35 @@
     return new ScoringQueue(environment);
   }
 
-  get isEmpty(): boolean {
-    return this.waiting.length === 0;
+  isEmpty(route: string): boolean {
+    return (this.waiting.get(route)?.length ?? 0) === 0;
   }
 
   /** Resolves when the call is to be tried again. */
-  wait(rank: ScoringRank): Promise<void> {
+  wait(route: string, rank: ScoringRank): Promise<void> {
     return new Promise((resume) => {
-      const isBefore = (other: WaitingCall): boolean => compareRanks(rank, other.rank) < 0;
-      const position = this.waiting.findIndex(isBefore);
-      this.waiting.splice(position < 0 ? this.waiting.length : position, 0, { rank, resume });
-      this.retryFromTimeToTime();
+      const calls = this.waiting.get(route);
+      if (!calls) {
+        this.waiting.set(route, [{ rank, resume }]);
+        this.retryFromTimeToTime(route);
+        return;
+      }
+      const position = calls.findIndex((other) => compareRanks(rank, other.rank) < 0);
+      calls.splice(position < 0 ? calls.length : position, 0, { rank, resume });
     });
   }
 
   /** Lets the first waiting call try: another one has found a replica, or has ended. */
-  resumeNext(): void {
-    this.waiting.shift()?.resume();
+  resumeNext(route: string): void {
+    this.waiting.get(route)?.shift()?.resume();
   }
 
-  private async retryFromTimeToTime(): Promise<void> {
-    if (this.isRetrying) return;
-    this.isRetrying = true;
-    while (this.waiting.length > 0) {
+  private async retryFromTimeToTime(route: string): Promise<void> {
+    while (this.waiting.get(route)?.length) {
       await this.environment.pause(RETRY_INTERVAL_MS * (0.5 + this.environment.random()));
-      this.resumeNext();
+      this.resumeNext(route);
     }
-    this.isRetrying = false;
+    this.waiting.delete(route);
   }
 }
 
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -47,9 +47,12 @@
   if (!scoring || itemProgress.score !== undefined) return createEnd('scored');
   const path = scoring.path.split('?')[0] ?? scoring.path;
   const rank = { submittedMs: job.head.submittedMs, position: itemProgress.index };
-  if (!options.queue.isEmpty) await options.queue.wait(rank);
+  const { queue, forwarder } = options;
+  const findRoute = (): string => forwarder.findRouteName(scoring.host, path) ?? '';
+  if (!queue.isEmpty(findRoute())) await queue.wait(findRoute(), rank);
   while (job.isOpen) {
-    const end = await options.forwarder.send({
+    const resumeNext = (): void => queue.resumeNext(findRoute());
+    const end = await forwarder.send({
       request: {
         id: scoring.id,
         method: 'POST',
@@ -61,9 +64,9 @@
       path,
       deadlineMs: SCORING_TIMEOUT_MS,
       signal: new AbortController().signal,
-      onPlaced: () => options.queue.resumeNext(),
+      onPlaced: resumeNext,
     });
-    if (end.attempts > 0) options.queue.resumeNext();
+    if (end.attempts > 0) resumeNext();
     const answer = end.reply.kind === 'answer' ? end.reply.answer : undefined;
     const isOk =
       answer && answer.status >= FIRST_SUCCESS_STATUS && answer.status < FIRST_REDIRECT_STATUS;
@@ -73,7 +76,7 @@
     }
     failedAnswers += end.failedAnswers;
     mostAttempts = Math.max(
-      options.forwarder.getMaximumAttempts(scoring.host, path),
+      forwarder.getMaximumAttempts(scoring.host, path),
       job.giveUpLimits.maximumAttempts,
     );
     options.environment.log.info('scoring failed', {
@@ -86,8 +89,8 @@
     });
     if (failedAnswers >= mostAttempts) return createEnd('failed');
     if (end.attempts > 0) await options.environment.pause(RETRY_BACKOFF_MS);
-    else await options.queue.wait(rank);
+    else await queue.wait(findRoute(), rank);
   }
-  options.queue.resumeNext();
+  queue.resumeNext(findRoute());
   return createEnd('abandoned');
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -180,6 +180,11 @@
     });
   }
 
+  /** The name of the route for a host and path; undefined if there is none. */
+  findRouteName(host: string, path: string): string | undefined {
+    return this.options.configuration.routeTable?.find(host, path)?.name;
+  }
+
   /** To how many replicas a request for this host and path may be sent; 0 if it has no route. */
   getMaximumAttempts(host: string, path: string): number {
     return this.options.configuration.routeTable?.find(host, path)?.maximumAttempts ?? 0;
@@ -274,7 +279,7 @@
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
       const isAllowed = !guard || guard.selectReplicas([chosen]).length > 0;
-      if (isGranted && isAllowed) return chosen;
+      if (isGranted && isAllowed && !chosen.isLeaving) return chosen;
       excluded.add(chosen.replica.id);
     }
   }
