Tests: what is stored of streams, when, and for how long

Guards against a cost while one version of a service's software serves (nothing stored, nothing read for take-ups), against losing what began before the second version came, against a row for each stream, and against rows that stay.

--- a/packages/gateway/__tests__/software-versions.test.ts
+++ b/packages/gateway/__tests__/software-versions.test.ts
@@ -223,6 +223,62 @@
     });
   });
 
+  describe('and what is stored of streams', () => {
+    const countReads = (table: string, read: jest.SpyInstance): number =>
+      read.mock.calls.filter(([range]) => (range as gateway.RowRange).table === table).length;
+
+    it('is nothing while one version serves, and nothing is read for take-ups', async () => {
+      addEngines('v1', ['e1', 'e2']);
+      const entry = await system.start('vm-1');
+      await time.advance(40_000);
+      const read = jest.spyOn(system.store, 'read');
+      const streams = Array.from({ length: 20 }, (_unused, index) => open(entry, `s${index}`));
+      await time.advance(2000);
+      expect(streams.every(({ reply }) => reply?.kind === 'streamed')).toBe(true);
+      expect(await resume(entry, 'unknown', 'later')).toMatchObject({ isResumed: true });
+      expect(system.store.inspect('origins')).toEqual([]);
+      expect(countReads('origins', read) + countReads('software', read)).toBe(0);
+    });
+
+    it('includes those that began before the second version came', async () => {
+      addEngines('v1', ['e1', 'e2']);
+      const connectivity = { isDirectCut: false };
+      const former = await system.start('vm-1', 'former', connectivity);
+      await time.advance(40_000);
+      const firsts = Array.from({ length: 6 }, (_unused, index) => `first-${index}`);
+      firsts.forEach((id) => {
+        system.replicas.eventCounts.set(id, 400);
+        open(former, id);
+      });
+      await time.advance(500);
+      addEngines('v2', ['e3', 'e4']);
+      await time.advance(1000);
+      Object.assign(connectivity, { isDead: true });
+      const later = await system.start('vm-1', 'later');
+      for (const first of firsts) {
+        const { isResumed, version } = await resume(later, first, `${first}-resumed`);
+        expect({ isResumed, version }).toEqual({ isResumed: true, version: 'v1' });
+      }
+    });
+
+    it('is many streams in a row, and is removed once they must have ended', async () => {
+      addEngines('v1', ['e1', 'e2']);
+      addEngines('v2', ['e3', 'e4']);
+      const entry = await system.start('vm-1');
+      for (let index = 0; index < 200; index += 1) {
+        open(entry, `s${index}`);
+        if (index % 10 === 9) await time.advance(100);
+      }
+      await time.advance(1000);
+      const rows = system.store.inspect('origins');
+      expect(rows.length).toBeGreaterThan(0);
+      expect(rows.length).toBeLessThan(20);
+      removeEngines(['e3', 'e4']);
+      await time.advance(130_000);
+      expect(system.store.inspect('origins')).toEqual([]);
+    });
+  });
+
   describe('and the texts of items', () => {
     async function run(entry: gateway.Gateway, events: number): Promise<gateway.BatchJob> {
       const job = systems.createJob('job', 2, 4);
