KNOWN-RED: a request was cut off once in planned stops; the check names it from now on

Which request it was could not be told, so the caller's stand-in keeps it with its error and time, and the check prints it. The check itself is unchanged.

--- a/packages/standins/__tests__/matrix/checker.ts
+++ b/packages/standins/__tests__/matrix/checker.ts
@@ -72,7 +72,11 @@
 export function checkPlannedStops(before: OutcomeCounts, after: OutcomeCounts): Violation[] {
   const promise = 'planned stops lose nothing';
   return [
-    ...expectNone(promise, after.cutOffRequests - before.cutOffRequests, 'requests cut off'),
+    ...expectNone(
+      promise,
+      after.cutOffRequests.length - before.cutOffRequests.length,
+      `requests cut off: ${after.cutOffRequests.slice(before.cutOffRequests.length).join('; ')}`,
+    ),
     ...expectNone(
       promise,
       after.unknownBookings.length - before.unknownBookings.length,
@@ -83,7 +87,7 @@
 
 /** Requests that were cut off, and bookings for which no attempt got a certain outcome. */
 export interface OutcomeCounts {
-  readonly cutOffRequests: number;
+  readonly cutOffRequests: readonly string[];
   readonly unknownBookings: readonly string[];
 }
 
@@ -96,7 +100,7 @@
         attempts.some(({ verdict }) => verdict !== 'not-run' && verdict !== 'not-sent'),
     )
     .map(([id, attempts]) => `${id} ${attempts.map(({ code }) => code).join()}`);
-  return { cutOffRequests: workload.caller.report.cutOff, unknownBookings };
+  return { cutOffRequests: [...workload.caller.cutOffRequests], unknownBookings };
 }
 
 /**
--- a/packages/standins/src/core/caller.ts
+++ b/packages/standins/src/core/caller.ts
@@ -60,6 +60,9 @@
     unlabelled: 0,
   };
 
+  /** The requests that were cut off, with the error and how long they had taken. */
+  readonly cutOffRequests: string[] = [];
+
   /** Ids of bookings answered with the verdict `not-run`. */
   readonly refusedIds: string[] = [];
 
@@ -148,7 +151,7 @@
       });
     } catch (error) {
       const code = (error as NodeJS.ErrnoException).code ?? '';
-      return this.recordUnanswered(code, performance.now() - startMs);
+      return this.recordUnanswered(`${method} ${entry}${path}`, code, performance.now() - startMs);
     }
   }
 
@@ -156,10 +159,13 @@
    * A refused connection does not count as cut off: nothing was sent, and a load balancer would try
    * another entry.
    */
-  private recordUnanswered(code: string, durationMs: number): CallerAnswer {
+  private recordUnanswered(request: string, code: string, durationMs: number): CallerAnswer {
     this.report.unanswered += 1;
     const isSent = code !== 'ECONNREFUSED';
-    if (isSent) this.report.cutOff += 1;
+    if (isSent) {
+      this.report.cutOff += 1;
+      this.cutOffRequests.push(`${request}: ${code} after ${Math.round(durationMs)} ms`);
+    }
     return { status: 0, verdict: isSent ? 'unanswered' : 'not-sent', code, text: '', durationMs };
   }
 
