Log where an empty page of results came from, and gaps in membership

Three hypotheses of the incident differ in where the empty page comes from: memory of a former owner, a read of the store, or a list that is shorter in the store itself. A reader's empty page now has one line with its source and, from memory, the length and revision of the list; a membership that counts again has one with the length of the gap. No logic changes.

--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -108,6 +108,11 @@
     return this.state.head;
   }
 
+  /** The revision of the head at which this gateway knows the job. */
+  get revision(): number {
+    return this.state.revision;
+  }
+
   /** The largest limits of all routes that the job has had here. */
   get giveUpLimits(): GiveUpLimits {
     return this.limits;
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -85,12 +85,19 @@
       const isLastRead = remainingMs <= 0 || signal.aborted || this.options.isStopping();
       const owned = this.options.findOwnedJob(id);
       const page = owned ? this.readOwned(owned, position, isLastRead) : undefined;
-      if (page) return { isOk: true, value: page };
+      if (page) {
+        if (page.results.length === 0) this.logEmptyPage(id, position, owned);
+        return { isOk: true, value: page };
+      }
       if (owned && !isLastRead && this.isAuthoritative(owned))
         await owned.waitForResult(remainingMs, signal);
       else {
         const stored = await this.readStored(id, position);
-        if (!stored.isOk || stored.value.results.length > 0 || isLastRead) return stored;
+        if (!stored.isOk || stored.value.results.length > 0) return stored;
+        if (isLastRead) {
+          this.logEmptyPage(id, position, undefined);
+          return stored;
+        }
         await this.waitForRemoteResult(id, position, remainingMs, signal);
       }
     }
@@ -150,6 +157,20 @@
     return !job.isOpen || this.options.isOwnershipCertain();
   }
 
+  /** @param owned the job whose results in memory were the answer; undefined after a read of the store */
+  private logEmptyPage(id: string, position: number, owned: ownedJobs.OwnedJob | undefined): void {
+    this.options.environment.log.info('no result at position', {
+      job: id,
+      position,
+      source: owned ? 'memory' : 'store',
+      ...(owned && {
+        listed: owned.results.length,
+        revision: owned.revision,
+        closing: owned.closeReason,
+      }),
+    });
+  }
+
   /** Waits for a result of a job that another gateway runs. */
   private async waitForRemoteResult(
     id: string,
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -159,10 +159,17 @@
     const write = { ...this.rowAddress, value };
     const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
     if (outcome.status !== stores.StoreStatus.Done) return false;
-    if (!this.suspensionDetector.check()) this.validUntilMs = sentMs + this.view.validityMs;
+    if (!this.suspensionDetector.check()) this.extendValidity(sentMs);
     return true;
   }
 
+  private extendValidity(sentMs: number): void {
+    const { log, nowMs } = this.options.environment;
+    const lapsedMs = nowMs() - this.validUntilMs;
+    if (lapsedMs >= 0) log.info('membership valid again', { lapsedMs: Math.round(lapsedMs) });
+    this.validUntilMs = sentMs + this.view.validityMs;
+  }
+
   private async readMembers(): Promise<boolean> {
     const { store, failureDomains, environment } = this.options;
     const outcomes = await Promise.all(
