--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -148,6 +148,8 @@
   isDirectCut: boolean;
   /** The connections to the store through peers are cut as well. */
   isIsolated?: boolean;
+  /** Its connections to replicas are silent, as are those of a process that stands still. */
+  isCutFromReplicas?: boolean;
   /** The process has died: nothing that it still does reaches the store or a replica. */
   isDead?: boolean;
   /** How far its view of the store's clock is behind, because responses arrived late. */
@@ -287,7 +289,7 @@
       connectivity.isDead ? new Promise<Value>(() => {}) : act();
     return {
       call: (...call) => unlessDead(() => replicas.call(...call)),
-      stream: (...stream) => unlessDead(() => replicas.stream(...stream)),
+      stream: (...stream) => unlessDead(() => this.streamUnlessCut(connectivity, ...stream)),
       order: (...order) => unlessDead(() => replicas.order(...order)),
       fetchReport: (replica) => unlessDead(() => replicas.fetchReport(replica)),
       probe: (replica) => unlessDead(() => replicas.probe(replica)),
@@ -296,6 +298,23 @@
     };
   }
 
+  private async streamUnlessCut(
+    connectivity: Connectivity,
+    ...[replica, request, options, receiver]: Parameters<gateway.ReplicaClient['stream']>
+  ): Promise<gateway.StreamOutcome> {
+    let isInterrupted = false;
+    const unlessCut = (act: () => void): void => {
+      isInterrupted ||= connectivity.isCutFromReplicas === true;
+      if (!isInterrupted) act();
+    };
+    const outcome = await this.replicas.stream(replica, request, options, {
+      begin: (head) => unlessCut(() => receiver.begin(head)),
+      receive: (event) => unlessCut(() => receiver.receive(event)),
+    });
+    if (!isInterrupted) return outcome;
+    return { status: gateway.CallStatus.Broken, reason: 'silent for too long', isSilent: true };
+  }
+
   private connect(isDirectCut: () => boolean, connectivity: Connectivity): gateway.ConnectedStore {
     const { store } = this;
     let hasResponse = false;
