A gateway that was suspended or has stopped no longer counts itself as a member

Callers could read a short list of a batch job at a gateway that had been suspended, for up to a second and a half after it was back. Cause: the renewal checked for a suspension and discarded the answer, so that the next reader of the membership found none; and a stopping gateway that had removed its row still counted on its last renewal. Validity is now one object whose every access looks for a suspension; uninterrupted validity is a term, and the search for jobs is told when one begins.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -115,6 +115,7 @@
         this.softwareHistory.onMembersChanged();
         this.takeover.search();
       },
+      onTermBegan: () => this.takeover.search(),
     });
     const limits = sharedLimits.createSharedLimits({
       environment,
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -3,7 +3,7 @@
  * of them are alive.
  */
 import type * as runtime from '@azureworks/runtime';
-import * as suspensionDetectors from '../core/suspension-detector';
+import * as validities from '../core/validity';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
 import * as membership from './membership';
@@ -19,6 +19,8 @@
   readonly failureDomains: readonly string[];
   /** Called after the set of members has changed. */
   readonly onChange: () => void;
+  /** Called when this gateway's membership is valid, for the first time or again after a gap. */
+  readonly onTermBegan: () => void;
 }
 
 /** Maintains this gateway's own row and its view of the members. */
@@ -27,7 +29,7 @@
 
   private readonly view = membership.Membership.create();
 
-  private readonly suspensionDetector: suspensionDetectors.SuspensionDetector;
+  private readonly validity: validities.Validity;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -37,13 +39,10 @@
 
   private isStopped = false;
 
-  private validUntilMs = -Infinity;
-
   private loggedMembers = '';
 
   private constructor(private readonly options: MembershipTaskOptions) {
-    const { nowMs, wallClockMs } = options.environment;
-    this.suspensionDetector = suspensionDetectors.SuspensionDetector.create(nowMs, wallClockMs);
+    this.validity = validities.Validity.create(options.environment);
   }
 
   static create(options: MembershipTaskOptions): MembershipTask {
@@ -65,13 +64,21 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     clearTimeout(this.timer);
+    this.validity.end();
     await this.options.store.transact({ conditions: [], writes: [], removals: [this.rowAddress] });
   }
 
-  /** Whether the last renewal is recent enough that no other process can consider this one gone. */
+  /**
+   * The term of this gateway's membership: since it began, no other process can have considered this
+   * one gone. Undefined while that is not certain.
+   */
+  get term(): number | undefined {
+    return this.validity.currentTerm;
+  }
+
+  /** Whether no other process can consider this one gone. */
   get isMembershipValid(): boolean {
-    if (this.suspensionDetector.check()) this.validUntilMs = -Infinity;
-    return this.options.environment.nowMs() < this.validUntilMs;
+    return this.term !== undefined;
   }
 
   /** See Membership.isGone. */
@@ -150,8 +157,7 @@
 
   private async renew(): Promise<boolean> {
     const { environment, store } = this.options;
-    const sentMs = environment.nowMs();
-    this.suspensionDetector.check();
+    const start = this.validity.startRenewal();
     const { incarnation, address, capacity, isStopping, issuesPermits } = this.ownRecord;
     const value = Buffer.from(
       JSON.stringify({ incarnation, address, capacity, isStopping, issuesPermits }),
@@ -159,17 +165,14 @@
     const write = { ...this.rowAddress, value };
     const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
     if (outcome.status !== stores.StoreStatus.Done) return false;
-    if (!this.suspensionDetector.check()) this.extendValidity(sentMs);
+    if (this.isStopped) return true;
+    if (this.validity.completeRenewal(start, this.view.validityMs)) {
+      environment.log.info('membership valid', { term: this.term });
+      this.options.onTermBegan();
+    }
     return true;
   }
 
-  private extendValidity(sentMs: number): void {
-    const { log, nowMs } = this.options.environment;
-    const lapsedMs = nowMs() - this.validUntilMs;
-    if (lapsedMs >= 0) log.info('membership valid again', { lapsedMs: Math.round(lapsedMs) });
-    this.validUntilMs = sentMs + this.view.validityMs;
-  }
-
   private async readMembers(): Promise<boolean> {
     const { store, failureDomains, environment } = this.options;
     const outcomes = await Promise.all(
