Only the store answers that a batch job has no result at a position

A trainer that read a batch job again found nothing at a position where it had read a result, at a gateway that had run the job before it was cut off or stood still (LOST).

Cause: a gateway called the list in its memory whole while its membership counted, or for 20 s once the job was ended. Neither says that no other gateway ran the job in between, and nothing compared the job with the store after a gap. Nor could a gateway know by itself: one that stood still between the check that an owner is gone and its claim takes a job over whose owner has long been back.

Now memory answers what is there, as a listed result keeps its position, and only a read of the store answers that there is nothing; a list with the results of all items needs none. The search for jobs, which a new term of the membership starts, also compares the jobs that run here with their heads, so that a former owner stops them, and takes them over again when the next one dies. An end whose notice was dropped with the store's history is found by it too; before, its items ran on.

The case that read an empty page from memory while the store was away asked for what is no longer promised; it is replaced by one that no page is empty then.

--- a/packages/gateway/__tests__/results-after-gaps.test.ts
+++ b/packages/gateway/__tests__/results-after-gaps.test.ts
@@ -114,17 +114,29 @@
     expect(body).toMatchObject({ isOk: true, value: Buffer.from('body of job-2') });
   });
 
-  it('are served from memory again once an owner has compared its list with the store', async () => {
+  it('are shown as far as the owner holds them while the store is away, and nothing is denied', async () => {
+    system.store.faults.isRefusing = true;
+    expect(await readFrom(former, 0)).toEqual(['job-0']);
+    expect(await readFrom(former, 1)).toBe('unavailable');
+  });
+
+  it('stay with an owner whose gap was too short for another to take the job over', async () => {
     connectivity.isIsolated = true;
-    // Shorter than the other gateways wait before they take a job over.
     await time.advance(1200);
     connectivity.isIsolated = false;
     await time.advance(RETURN_MS);
-    const reads = system.store.faults;
-    reads.isRefusing = true;
-    expect(await readFrom(former, 1)).toEqual([]);
-    reads.isRefusing = false;
+    expect(await readFrom(former, 0)).toEqual(['job-0']);
     expect(former.jobs.openCount).toBe(1);
+    expect(system.replicas.runs).toHaveLength(3);
+  });
+
+  it('are not followed by runs of a job that was ended while its notices were dropped', async () => {
+    connectivity.isIsolated = true;
+    await time.settle(next.jobs.end('job'));
+    system.store.dropHistory();
+    connectivity.isIsolated = false;
+    await time.advance(RETURN_MS);
+    expect(former.jobs.openCount).toBe(0);
   });
 });
 
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -180,7 +180,6 @@
       environment,
       store: jobStore,
       runner,
-      isOwnershipCertain: () => this.members.isMembershipValid,
       listWorkers: () => this.members.listWorkers(),
       peers: options.peers,
       jobRetentionMs: options.jobRetentionMs,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -3,7 +3,7 @@
  *
  * Any gateway accepts a job; the gateway chosen for the job's model runs it. Any gateway answers
  * for any job. That a job does not exist, or that it has no result at a position, is only answered
- * after a read of the store, or by the owner of the job while its ownership is certain.
+ * after a read of the store.
  */
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
@@ -21,8 +21,6 @@
   readonly environment: environments.Environment;
   readonly store: jobStores.JobStore;
   readonly runner: jobRunners.JobRunner;
-  /** Whether it is certain that no other gateway has taken over this one's jobs. */
-  readonly isOwnershipCertain: () => boolean;
   /** The gateways that accept new jobs. */
   readonly listWorkers: () => readonly resultReaders.Worker[];
   readonly peers: resultReaders.Peers;
@@ -72,7 +70,7 @@
 
   /** The number of jobs that this gateway runs now. */
   get openCount(): number {
-    return [...this.owned.values()].filter((job) => job.isOpen).length;
+    return this.listOpen().length;
   }
 
   /** Whether this gateway runs the job, or ran it to its end and still holds it in memory. */
@@ -80,6 +78,11 @@
     return this.owned.has(id);
   }
 
+  /** The jobs that this gateway runs now, as far as it knows. */
+  listOpen(): ownedJobs.OwnedJob[] {
+    return [...this.owned.values()].filter((job) => job.isOpen);
+  }
+
   /** Accepts a job; submitting it again has no effect. */
   async submit(job: jobs.BatchJob): Promise<answers.Answer<undefined>> {
     const { environment, store } = this.options;
@@ -168,8 +171,7 @@
 
   /** Releases all jobs, so that other gateways take them over. */
   async releaseAll(): Promise<void> {
-    const open = [...this.owned.values()].filter((job) => job.isOpen);
-    await Promise.all(open.map((job) => job.release()));
+    await Promise.all(this.listOpen().map((job) => job.release()));
   }
 
   /** Releases a job that was assigned to this gateway while it stops, for another to take over. */
@@ -206,7 +208,7 @@
       if (this.savedTexts.restoreItem(itemProgress, job.head.oldestVersion))
         runner.recordCarriedOver(itemProgress.item.id);
     });
-    if (job.head.listed === job.head.total) {
+    if (job.isWhole) {
       job.close(ownedJobs.JobCloseReason.Finished);
       return;
     }
@@ -221,7 +223,8 @@
     job.items.forEach((itemProgress) => {
       if (!listed.has(itemProgress.item.id)) this.savedTexts.saveItem(itemProgress);
     });
-    if (!job.isComplete) {
+    const { Finished, Ended } = ownedJobs.JobCloseReason;
+    if (job.closeReason !== Finished && job.closeReason !== Ended) {
       this.owned.delete(job.id);
       return;
     }
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -77,8 +77,6 @@
 
   private isAppending = false;
 
-  private isClosedDuringAppend = false;
-
   private checkpointTimer: NodeJS.Timeout | undefined;
 
   private readonly waitingReaders = new Set<() => void>();
@@ -130,18 +128,9 @@
     return this.closeReason === undefined;
   }
 
-  /**
-   * Whether the results in memory are the whole list. A job that was ended while an append was in
-   * flight may have more results in the store.
-   */
-  get isComplete(): boolean {
-    if (this.closeReason === JobCloseReason.Finished) return true;
-    return this.closeReason === JobCloseReason.Ended && !this.isClosedDuringAppend;
-  }
-
-  /** Whether an append is in flight, which may already have taken effect. */
-  get hasAppendInFlight(): boolean {
-    return this.isAppending;
+  /** Whether the list has the results of all items, so that nothing can be missing from it. */
+  get isWhole(): boolean {
+    return this.results.length === this.head.total;
   }
 
   /** Lists the items that are in one of the phases. */
@@ -247,7 +236,6 @@
   close(closeReason: JobCloseReason): void {
     if (!this.isOpen) return;
     this.closeReason = closeReason;
-    this.isClosedDuringAppend = closeReason !== JobCloseReason.Finished && this.isAppending;
     clearInterval(this.checkpointTimer);
     this.items.forEach((itemProgress) => itemProgress.abortController?.abort());
     this.options.environment.log.info('job closed', {
@@ -327,10 +315,32 @@
   /** After a conflict, another writer has changed the job: its head tells how to continue. */
   private async resolveConflict(): Promise<void> {
     const state = await this.options.store.readHead(this.id);
-    if (state === jobStores.UNREADABLE) {
-      await this.options.environment.pause(APPEND_BACKOFF_MS);
-      return;
-    }
+    if (state === jobStores.UNREADABLE) await this.options.environment.pause(APPEND_BACKOFF_MS);
+    else this.adopt(state);
+  }
+
+  /**
+   * Compares the job with its head in the store, as another gateway may have changed it unnoticed.
+   * An append in flight finds out by itself.
+   * @param knownRevision the revision of this job before the head was read
+   */
+  compare(state: jobStores.HeadState | undefined, knownRevision: number): void {
+    if (!this.isOpen || this.isAppending || this.revision !== knownRevision) return;
+    if (state?.revision === knownRevision) return;
+    this.options.environment.log.info('job changed by another writer', {
+      job: this.id,
+      owner: state?.head.owner?.vm,
+      isEnded: state?.head.isEnded,
+      revision: state?.revision,
+      knownRevision,
+      storedResults: state?.head.listed,
+      listed: this.results.length,
+    });
+    this.adopt(state);
+  }
+
+  /** Continues from a head that another writer may have written, or closes the job. */
+  private adopt(state: jobStores.HeadState | undefined): void {
     if (!state || state.head.isEnded) this.close(JobCloseReason.Ended);
     else if (this.options.store.isOwn(state.head) && state.head.listed === this.results.length)
       this.state = state;
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -1,7 +1,10 @@
 /**
- * Reads results and item bodies of batch jobs, whichever gateway runs them: from memory when this
- * gateway runs the job and certainly no other does, from the store otherwise. A reader that waits
- * for a result of a job on another gateway waits through a call to that gateway.
+ * Reads results and item bodies of batch jobs, whichever gateway runs them.
+ *
+ * Memory answers what is there: a listed result keeps its position, and an item its body. Only the
+ * store, or a list with the results of all items, answers that there is nothing: another gateway may
+ * have taken a job over unnoticed and listed more. A reader that waits for a result of a job on another
+ * gateway waits through a call to that gateway.
  */
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
@@ -53,8 +56,6 @@
   readonly jobCache: boundedMaps.BoundedMap<CachedJob>;
   /** Finds a job that this gateway runs or has run to its end. */
   readonly findOwnedJob: (id: string) => ownedJobs.OwnedJob | undefined;
-  /** Whether it is certain that no other gateway has taken over this one's jobs. */
-  readonly isOwnershipCertain: () => boolean;
   readonly isStopping: () => boolean;
   /** The gateways that accept new jobs. */
   readonly listWorkers: () => readonly Worker[];
@@ -84,18 +85,16 @@
       const remainingMs = endMs - this.options.environment.nowMs();
       const isLastRead = remainingMs <= 0 || signal.aborted || this.options.isStopping();
       const owned = this.options.findOwnedJob(id);
-      const page = owned ? this.readOwned(owned, position, isLastRead) : undefined;
-      if (page) {
-        if (page.results.length === 0) this.logEmptyPage(id, position, owned);
-        return { isOk: true, value: page };
+      if (owned && (owned.results.length > position || owned.isWhole)) {
+        const results = owned.results.slice(position);
+        return { isOk: true, value: { total: owned.head.total, results } };
       }
-      if (owned && !isLastRead && this.isAuthoritative(owned))
-        await owned.waitForResult(remainingMs, signal);
+      if (owned?.isOpen && !isLastRead) await owned.waitForResult(remainingMs, signal);
       else {
         const stored = await this.readStored(id, position);
         if (!stored.isOk || stored.value.results.length > 0) return stored;
         if (isLastRead) {
-          this.logEmptyPage(id, position, undefined);
+          this.logEmptyPage(id, position, owned);
           return stored;
         }
         await this.waitForRemoteResult(id, position, remainingMs, signal);
@@ -124,8 +123,7 @@
     const owned = this.options.findOwnedJob(id);
     if (owned?.closeReason === ownedJobs.JobCloseReason.Ended) return answers.fail('unknown-item');
     const ownedItem = owned?.items.get(itemId)?.item;
-    if (ownedItem && owned.isOpen && this.options.isOwnershipCertain())
-      return { isOk: true, value: ownedItem.body };
+    if (ownedItem && owned.isOpen) return { isOk: true, value: ownedItem.body };
     const state = await this.options.store.readHead(id);
     if (state === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
@@ -139,32 +137,13 @@
     return item ? { isOk: true, value: item.body } : answers.fail('unknown-item');
   }
 
-  private readOwned(
-    job: ownedJobs.OwnedJob,
-    position: number,
-    isLastRead: boolean,
-  ): ResultsPage | undefined {
-    const results = job.results.slice(position);
-    const isWaitOver = !job.isOpen || isLastRead;
-    // An append that is in flight may have taken effect, and others may have read its results.
-    const isCertain = this.isAuthoritative(job) && !(job.isOpen && job.hasAppendInFlight);
-    if (results.length === 0 && !(isWaitOver && isCertain)) return undefined;
-    return { total: job.head.total, results };
-  }
-
-  /** Whether this gateway certainly holds the whole list, apart from an append in flight. */
-  private isAuthoritative(job: ownedJobs.OwnedJob): boolean {
-    return !job.isOpen || this.options.isOwnershipCertain();
-  }
-
-  /** @param owned the job whose results in memory were the answer; undefined after a read of the store */
+  /** @param owned the job as this gateway holds it, if it does */
   private logEmptyPage(id: string, position: number, owned: ownedJobs.OwnedJob | undefined): void {
     this.options.environment.log.info('no result at position', {
       job: id,
       position,
-      source: owned ? 'memory' : 'store',
       ...(owned && {
-        listed: owned.results.length,
+        listedHere: owned.results.length,
         revision: owned.revision,
         closing: owned.closeReason,
       }),
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -1,5 +1,7 @@
 /**
- * Finds batch jobs that no gateway runs and takes over those that this gateway is responsible for.
+ * Finds batch jobs that no gateway runs and takes over those that this gateway is responsible for. It
+ * also compares the jobs that run here with the store: while this gateway was out of touch, another may
+ * have taken them over, or a caller may have ended them.
  *
  * A job whose owner was restarted goes to the new process on the same VM; any other job goes to the
  * gateway that runs the jobs of its model now. Two gateways that disagree on which members are
@@ -13,6 +15,7 @@
 import type * as jobServices from './job-service';
 import * as jobStores from './job-store';
 import * as gatewayChoices from './gateway-choice';
+import type * as ownedJobs from './owned-job';
 
 export interface TakeoverOptions {
   readonly environment: environments.Environment;
@@ -29,7 +32,7 @@
 const SEARCH_INTERVAL_MS = 5000;
 /** Backoff after a search that could not read the store or take over a job. */
 const SEARCH_BACKOFF_MS = 300;
-const MAXIMUM_CONCURRENT_TAKEOVERS = 4;
+const MAXIMUM_CONCURRENT_READS = 4;
 
 /** Takes over orphaned jobs; also observes the notices about jobs. */
 export class TakeoverTask implements runtime.Task, tableWatches.TableObserver {
@@ -100,16 +103,21 @@
   }
 
   private async takeOverOrphans(): Promise<boolean> {
-    const open = await this.options.store.listOpen();
+    const { store, service } = this.options;
+    const isCompared = await forAll(service.listOpen(), (job) => this.compare(job));
+    const open = await store.listOpen();
     if (open === jobStores.UNREADABLE) return false;
-    const otherJobs = open.filter((id) => !this.options.service.has(id));
-    let isComplete = true;
-    for (let start = 0; start < otherJobs.length; start += MAXIMUM_CONCURRENT_TAKEOVERS) {
-      const batch = otherJobs.slice(start, start + MAXIMUM_CONCURRENT_TAKEOVERS);
-      const outcomes = await Promise.all(batch.map((id) => this.takeOverIfResponsible(id)));
-      isComplete &&= outcomes.every(Boolean);
-    }
-    return isComplete;
+    const otherJobs = open.filter((id) => !service.has(id));
+    return (await forAll(otherJobs, (id) => this.takeOverIfResponsible(id))) && isCompared;
+  }
+
+  /** Compares a job that runs here with the store; returns false to try it again soon. */
+  private async compare(job: ownedJobs.OwnedJob): Promise<boolean> {
+    const knownRevision = job.revision;
+    const state = await this.options.store.readHead(job.id);
+    if (state === jobStores.UNREADABLE) return false;
+    job.compare(state, knownRevision);
+    return true;
   }
 
   /** Takes over a job if this gateway is responsible for it; returns false to try it again soon. */
@@ -147,3 +155,17 @@
     return gatewayChoices.chooseGateway(head.model, workers)?.vm === vm;
   }
 }
+
+/** Handles all entries, a few at a time; returns whether each of them succeeded. */
+async function forAll<Entry>(
+  entries: readonly Entry[],
+  handle: (entry: Entry) => Promise<boolean>,
+): Promise<boolean> {
+  let areAllDone = true;
+  for (let start = 0; start < entries.length; start += MAXIMUM_CONCURRENT_READS) {
+    const batch = entries.slice(start, start + MAXIMUM_CONCURRENT_READS);
+    const outcomes = await Promise.all(batch.map(handle));
+    areAllDone &&= outcomes.every(Boolean);
+  }
+  return areAllDone;
+}
