An issuer of permits that is back after a gap issues at half the rate until all views agree

A replica with a rate limit could get up to twice as many requests while a gateway that had been out of touch issued its permits again and some gateways still asked the interim issuer, for as long as views of the members may differ (2.4 s at 88 gateways). Cause: the time for which a gateway had been responsible was counted across the gap. It now starts anew with each term of the membership.

--- a/packages/gateway/__tests__/permits.test.ts
+++ b/packages/gateway/__tests__/permits.test.ts
@@ -99,11 +99,38 @@
         gateway?.issuer.onMembersChanged();
       });
       const former = fleet.gateways.get(issuer ?? '');
-      if (former) former.isMembershipValid = !isSplit;
+      if (former) former.term = isSplit ? undefined : elapsedMs;
     });
     expect(countMost(fleet, startMs)).toBeLessThanOrEqual(sendRates.getAllowance(2));
   });
 
+  it('keep the limit when the issuer is back after a gap and others still ask another one', async () => {
+    const settlingMs = 8000;
+    const fleet = fleets.PermitFleet.create(7, settlingMs);
+    fleet.rateLimit = 10;
+    fleet.gateways.forEach((gateway) => fleet.send(gateway.vm));
+    await load(fleet, 1, 2 * settlingMs);
+    const vms = [...fleet.gateways.keys()];
+    const issuer = decisions.chooseNode(fleets.REPLICA.id, vms);
+    const others = vms.filter((vm) => vm !== issuer);
+    const setView = (vm: string, view: readonly string[]): void => {
+      const gateway = fleet.gateways.get(vm);
+      if (gateway) gateway.view = view;
+      gateway?.issuer.onMembersChanged();
+    };
+    const former = fleet.gateways.get(issuer ?? '');
+    if (former) former.term = undefined;
+    others.forEach((vm) => setView(vm, others));
+    await load(fleet, 1, 2 * settlingMs);
+    if (former) former.term = 2;
+    const interim = decisions.chooseNode(fleets.REPLICA.id, others);
+    const returning = others.filter((vm) => vm !== interim).slice(0, 3);
+    returning.forEach((vm) => setView(vm, vms));
+    const returnMs = time.nowMs();
+    await load(fleet, 1, settlingMs);
+    expect(countMost(fleet, returnMs)).toBeLessThanOrEqual(sendRates.getAllowance(10));
+  });
+
   it('send nothing from a gateway that is cut off from the others', async () => {
     const fleet = fleets.PermitFleet.create(7);
     fleet.rateLimit = 1;
--- a/packages/gateway/__tests__/support/permit-fleet.ts
+++ b/packages/gateway/__tests__/support/permit-fleet.ts
@@ -11,6 +11,7 @@
 
 export const REPLICA = { id: 'replica', address: 'replica:1', bornMs: 1 };
 const PEER_DELAY_MS = 2;
+/** How long the views of the members may differ. */
 const SETTLING_MS = 1000;
 
 /** One gateway of a fleet. */
@@ -21,7 +22,8 @@
   readonly requester: permitRequesters.PermitRequester;
   /** The VMs that it considers to be members. */
   view: readonly string[];
-  isMembershipValid: boolean;
+  /** The term of its membership; undefined while others may consider it gone. */
+  term: number | undefined;
   /** Whether no peer reaches it. */
   isCut: boolean;
 }
@@ -44,8 +46,10 @@
   /** The limit that the replica names in its answers. */
   rateLimit: number | undefined;
 
-  static create(size: number): PermitFleet {
-    const fleet = new PermitFleet();
+  private constructor(private readonly settlingMs: number) {}
+
+  static create(size: number, settlingMs = SETTLING_MS): PermitFleet {
+    const fleet = new PermitFleet(settlingMs);
     const vms = Array.from({ length: size }, (_unused, index) => `vm${index}`);
     vms.forEach((vm) => fleet.start(vm, vms));
     return fleet;
@@ -57,16 +61,16 @@
     const limits = rateLimits.RateLimits.create(environment);
     const listIssuers = (): permits.IssuerCandidate[] =>
       (this.gateways.get(vm)?.view ?? []).map((name) => ({ vm: name, address: name }));
-    const isValid = (): boolean => this.gateways.get(vm)?.isMembershipValid === true;
+    const getTerm = (): number | undefined => this.gateways.get(vm)?.term;
     const issuer = permitIssuers.PermitIssuer.create({
       environment,
       reporter: { report: () => {}, withdraw: () => {} },
       members: {
         listIssuers,
-        get isMembershipValid() {
-          return isValid();
+        get term() {
+          return getTerm();
         },
-        settlingMs: SETTLING_MS,
+        settlingMs: this.settlingMs,
       },
     });
     const requester = permitRequesters.PermitRequester.create({
@@ -85,7 +89,7 @@
       issuer,
       requester,
       view,
-      isMembershipValid: true,
+      term: 1,
       isCut: false,
     };
     this.gateways.set(vm, gateway);
--- a/packages/gateway/src/limits/permit-issuer.ts
+++ b/packages/gateway/src/limits/permit-issuer.ts
@@ -20,8 +20,8 @@
   readonly reporter: Pick<rowReporters.RowReporter, 'report' | 'withdraw'>;
   readonly members: {
     listIssuers(): readonly permits.IssuerCandidate[];
-    /** Whether no other process can consider this one gone. */
-    readonly isMembershipValid: boolean;
+    /** The term in which no other process can consider this one gone; undefined outside of one. */
+    readonly term: number | undefined;
     /** How long the views of the members may differ after a change. */
     readonly settlingMs: number;
   };
@@ -30,7 +30,10 @@
 /** A replica for which this gateway issues permits. */
 interface IssuedReplica {
   readonly budget: decisions.PermitBudget;
-  readonly responsibleSinceMs: number;
+  /** Since when this gateway is responsible, without a gap in its membership. */
+  responsibleSinceMs: number;
+  /** The term of the membership in which it became responsible. */
+  term: number | undefined;
   /** Undefined when the replica names no limit. */
   requestsPerSecond: number | undefined;
   /** When the newest answer that told so was requested, on the monotonic clock. */
@@ -91,10 +94,12 @@
   }
 
   private begin(key: string): IssuedReplica {
-    const { nowMs, random } = this.options.environment;
+    const { environment, members } = this.options;
+    const { nowMs, random } = environment;
     const issued: IssuedReplica = {
       budget: decisions.PermitBudget.create({ nowMs }, { next: random }),
       responsibleSinceMs: nowMs(),
+      term: members.term,
       requestsPerSecond: undefined,
       heardMs: -Infinity,
       sharedLimit: undefined,
@@ -122,7 +127,13 @@
 
   private isCertain(issued: IssuedReplica): boolean {
     const { members, environment } = this.options;
-    const responsibleMs = environment.nowMs() - issued.responsibleSinceMs;
-    return members.isMembershipValid && responsibleMs >= members.settlingMs;
+    const { term } = members;
+    const nowMs = environment.nowMs();
+    if (term !== issued.term) {
+      // Another gateway may have issued during the gap, and some may still ask it.
+      issued.term = term;
+      issued.responsibleSinceMs = nowMs;
+    }
+    return term !== undefined && nowMs - issued.responsibleSinceMs >= members.settlingMs;
   }
 }
