The holder of the lease of orders drops it after a suspension that its renewal notices first

Replicas could get orders from two gateways: one that had been suspended, and the one that had taken the lease meanwhile. Cause: the renewal asked whether the process had been suspended and discarded the answer; a renewal that then lost to the new holder left the old validity in place.

--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -118,10 +118,16 @@
   }
 
   private getValidFence(): number | undefined {
-    if (this.suspensionDetector.check()) this.lease.drop();
+    this.dropLeaseIfSuspended();
     return this.isStopped ? undefined : this.lease.fence;
   }
 
+  private dropLeaseIfSuspended(): boolean {
+    const wasSuspended = this.suspensionDetector.check();
+    if (wasSuspended) this.lease.drop();
+    return wasSuspended;
+  }
+
   private async sendOrder(order: weightsPlan.PlannedOrder, fence: number): Promise<void> {
     const { environment, directory, replicaClient } = this.options;
     const tracked = directory.get(order.replicaId);
@@ -271,14 +277,14 @@
     const current = read.rows.find((row) => row.key === LEASE.key);
     const step = this.planLease(current && decodeLease(current));
     if (step.kind === 'wait') return;
-    this.suspensionDetector.check();
+    this.dropLeaseIfSuspended();
     const sentMs = environment.nowMs();
     const outcome = await store.transact({
       conditions: [{ ...LEASE, revision: current?.revision ?? 0 }],
       writes: [{ ...LEASE, value: Buffer.from(JSON.stringify(step.row)) }],
       removals: [],
     });
-    if (outcome.status !== stores.StoreStatus.Done || this.suspensionDetector.check()) return;
+    if (this.dropLeaseIfSuspended() || outcome.status !== stores.StoreStatus.Done) return;
     this.hadLease = true;
     this.lease.recordWrite(step.row, sentMs);
   }
