A gateway does not start a batch job twice when its search finds it before the answer

Each item of a new job could run twice, and a caller's end closed only one of the two instances: the other sent scoring calls more than 3 s later, and closing one took the other out of the runner until the next search. Cause: the search lists a job as soon as it is stored, while the answer to its submission is slow or lost; both started it, and only the search looked whether it runs. A job that this gateway holds is now never started again.

--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -197,6 +197,8 @@
   }
 
   private startOwnedJob(content: ownedJobs.OwnedJobContent): void {
+    // The search for jobs may have found a new job before the store answered its submission.
+    if (this.owned.has(content.id)) return;
     const { environment, store, runner } = this.options;
     const job = ownedJobs.OwnedJob.create(
       { environment, store, onClosed: (closed) => this.onJobClosed(closed) },
