A notice of a stopping gateway names the process, not only its VM

A gateway that was restarted got no new jobs from another one for as long as both ran, and replicas with a rate limit got 34 requests in 4 s where 29 are allowed, from two issuers of permits that were both certain. Cause: the notice that a job was released names the VM; a gateway that had been out of step heard it after it had read of the new process, and took that one for stopping, for good. The notice now names the process, and what is remembered of processes goes with their rows. A notice of the former version names none and only starts the search, as the row of the member tells that it stops. Removed notices of discarded jobs no longer make every gateway read their heads.

--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -27,7 +27,7 @@
 /** The kind of a notice; also the key of its row. */
 export const Notice = {
   Ended: 'ended',
-  /** A stopping gateway released the job; the value of the row is its VM. */
+  /** A stopping gateway released the job; the value of the row names the process. */
   Released: 'released',
   /** The job was accepted for another gateway to run; the value of the row is its VM. */
   Assigned: 'assigned',
@@ -88,6 +88,18 @@
 const CHUNK_DIGITS = 2;
 const ITEM_CHUNK_DIGITS = 4;
 
+/** Decodes the process that released a job; undefined when the notice does not name one. */
+export function decodeReleaser(row: stores.Row): JobOwner | undefined {
+  try {
+    const { vm, incarnation } = JSON.parse(row.value.toString()) as Partial<JobOwner>;
+    if (typeof vm !== 'string' || typeof incarnation !== 'string') return undefined;
+    return { vm, incarnation };
+  } catch {
+    // Former versions of this program wrote the VM alone, which does not tell processes apart.
+    return undefined;
+  }
+}
+
 /** Encodes the value of a row. */
 export function encodeValue(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -206,7 +206,7 @@
     state: HeadState,
     partials: readonly IndexedPartialText[],
   ): Promise<ChangeOutcome> {
-    const notice = createNotice(id, records.Notice.Released, this.self.vm);
+    const notice = createNotice(id, records.Notice.Released, JSON.stringify(this.self));
     const rows = createPartialRows(id, partials);
     return this.change(id, state, { owner: null }, [...rows, notice], []);
   }
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -23,7 +23,7 @@
   readonly service: jobServices.JobService;
   readonly members: {
     isGone(vm: string, incarnation: string): boolean;
-    recordStopping(vm: string): void;
+    recordStopping(process: records.JobOwner): void;
     listWorkers(): readonly gatewayChoices.GatewayCandidate[];
   };
 }
@@ -74,19 +74,25 @@
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
+    const { service, environment } = this.options;
     changes.forEach((change) => {
-      if (change.key === records.Notice.Ended) this.options.service.onJobEnded(change.partition);
-      const vm = change.value.toString();
-      const isThisVm = vm === this.options.environment.vm;
-      if (change.key === records.Notice.Released && !isThisVm) {
-        this.options.members.recordStopping(vm);
-        this.takeOverIfResponsible(change.partition);
-      }
-      if (change.key === records.Notice.Assigned && isThisVm)
-        this.takeOverIfResponsible(change.partition);
+      const { key, partition, isRemoved } = change;
+      if (isRemoved) return;
+      if (key === records.Notice.Ended) service.onJobEnded(partition);
+      if (key === records.Notice.Released) this.onReleased(change);
+      if (key === records.Notice.Assigned && change.value.toString() === environment.vm)
+        this.takeOverIfResponsible(partition);
     });
   }
 
+  private onReleased(notice: stores.RowChange): void {
+    const { members, environment } = this.options;
+    const releaser = records.decodeReleaser(notice);
+    if (releaser?.incarnation === environment.incarnation) return;
+    if (releaser) members.recordStopping(releaser);
+    this.takeOverIfResponsible(notice.partition);
+  }
+
   private scheduleSearch(delayMs: number): void {
     if (this.isStopped) return;
     clearTimeout(this.timer);
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -88,17 +88,15 @@
     return this.view.isGone(vm, incarnation);
   }
 
-  /** Records that a gateway is stopping, before its row says so. */
-  recordStopping(vm: string): void {
-    const record = this.find(vm);
-    if (record) this.stoppingIncarnations.add(`${vm}#${record.incarnation}`);
+  /** Records that a process is stopping, before its row says so. */
+  recordStopping({ vm, incarnation }: Pick<membership.MemberRecord, 'vm' | 'incarnation'>): void {
+    this.stoppingIncarnations.add(identifyProcess({ vm, incarnation }));
   }
 
   /** The live gateways that take new work, including this one. */
   listWorkers(): membership.MemberRecord[] {
     const others = this.listPeers().filter(
-      ({ vm, incarnation, isStopping }) =>
-        !isStopping && !this.stoppingIncarnations.has(`${vm}#${incarnation}`),
+      (peer) => !peer.isStopping && !this.stoppingIncarnations.has(identifyProcess(peer)),
     );
     return this.isStopping ? others : [this.ownRecord, ...others];
   }
@@ -184,6 +182,10 @@
       records.push(...outcome.rows.flatMap(decodeRecord));
     }
     this.view.update(records, environment.nowMs());
+    const processes = new Set(records.map(identifyProcess));
+    this.stoppingIncarnations.forEach((process) => {
+      if (!processes.has(process)) this.stoppingIncarnations.delete(process);
+    });
     this.reportChange();
     return true;
   }
@@ -191,8 +193,8 @@
   private reportChange(): void {
     const live = this.view
       .listLive()
-      .map(({ vm, incarnation, isStopping }) =>
-        isStopping ? `${vm}#${incarnation} (stopping)` : `${vm}#${incarnation}`,
+      .map((record) =>
+        record.isStopping ? `${identifyProcess(record)} (stopping)` : identifyProcess(record),
       )
       .sort()
       .join(' ');
@@ -203,6 +205,13 @@
   }
 }
 
+function identifyProcess({
+  vm,
+  incarnation,
+}: Pick<membership.MemberRecord, 'vm' | 'incarnation'>): string {
+  return `${vm}#${incarnation}`;
+}
+
 function decodeRecord(row: stores.Row): membership.MemberRecord[] {
   try {
     const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
