A late change of the row of a stopped gateway no longer undoes that of the next process on its VM

All jobs of a gateway that had just been started again were taken from it and begun anew elsewhere: the removal of the former process's row took effect seconds late and removed the new one. Cause: the row of a member was written and removed without a condition. Both now name the revision that the process knows.

--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -12,6 +12,8 @@
 const MEMBERS_TABLE = 'members';
 /** Delay until the next renewal after a failed renewal or read. */
 const RETRY_DELAY_MS = 250;
+/** Attempts to write the own row, the first of which may not know its revision. */
+const MAXIMUM_WRITE_ATTEMPTS = 2;
 
 export interface MembershipTaskOptions {
   readonly environment: environments.Environment;
@@ -39,6 +41,9 @@
 
   private isStopped = false;
 
+  /** The revision of this gateway's row; 0 while it is not known to have one. */
+  private rowRevision = 0;
+
   private loggedMembers = '';
 
   private constructor(private readonly options: MembershipTaskOptions) {
@@ -65,7 +70,7 @@
     this.isStopped = true;
     clearTimeout(this.timer);
     this.validity.end();
-    await this.options.store.transact({ conditions: [], writes: [], removals: [this.rowAddress] });
+    await this.writeRow({ writes: [], removals: [this.rowAddress] });
   }
 
   /**
@@ -154,15 +159,14 @@
   }
 
   private async renew(): Promise<boolean> {
-    const { environment, store } = this.options;
+    const { environment } = this.options;
     const start = this.validity.startRenewal();
     const { incarnation, address, capacity, isStopping, issuesPermits } = this.ownRecord;
     const value = Buffer.from(
       JSON.stringify({ incarnation, address, capacity, isStopping, issuesPermits }),
     );
-    const write = { ...this.rowAddress, value };
-    const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
-    if (outcome.status !== stores.StoreStatus.Done) return false;
+    if (!(await this.writeRow({ writes: [{ ...this.rowAddress, value }], removals: [] })))
+      return false;
     if (this.isStopped) return true;
     if (this.validity.completeRenewal(start, this.view.validityMs)) {
       environment.log.info('membership valid', { term: this.term });
@@ -171,6 +175,30 @@
     return true;
   }
 
+  /**
+   * Changes this gateway's row. The condition keeps a change that takes effect late, after the next
+   * process on this VM has written the row, from undoing that.
+   */
+  private async writeRow(change: Omit<stores.Transaction, 'conditions'>): Promise<boolean> {
+    const { store } = this.options;
+    for (let attempt = 0; attempt < MAXIMUM_WRITE_ATTEMPTS; attempt += 1) {
+      const conditions = [{ ...this.rowAddress, revision: this.rowRevision }];
+      const outcome = await store.transact({ ...change, conditions });
+      if (outcome.status === stores.StoreStatus.Done) {
+        this.rowRevision = outcome.revision;
+        return true;
+      }
+      if (outcome.status !== stores.StoreStatus.Conflict) return false;
+      const [row] = outcome.rows;
+      const isOwn =
+        row && decodeRecord(row)[0]?.incarnation === this.options.environment.incarnation;
+      // Only the first write replaces the row of another process, the former one on this VM.
+      if (row && !isOwn && this.rowRevision !== 0) return false;
+      this.rowRevision = row?.revision ?? 0;
+    }
+    return false;
+  }
+
   private async readMembers(): Promise<boolean> {
     const { store, failureDomains, environment } = this.options;
     const outcomes = await Promise.all(
