A reader of an ended batch job gets the whole list at once; a new term compares own jobs only

A list that is read after it is known that nothing more is listed is now final and answered at once, and a term only has the own jobs compared, after jobs without an owner are taken over. The new case of results-after-gaps reads a job that was ended at two gateways: under 200 ms and two reads each.

--- a/packages/gateway/__tests__/results-after-gaps.test.ts
+++ b/packages/gateway/__tests__/results-after-gaps.test.ts
@@ -84,6 +84,22 @@
     expect(await readFrom(former, 1)).toEqual(['job-1']);
   });
 
+  it('are all that a reader gets at once when the job was ended, without asking the store again', async () => {
+    await time.settle(next.jobs.end('job'));
+    await time.advance(RETURN_MS);
+    for (const reader of [former, next]) {
+      const startMs = time.nowMs();
+      const reads = jest.spyOn(system.store, 'read');
+      const reading = reader.jobs.results.read('job', 1, 1000, NEVER_ABORTED);
+      expect(await time.settle(reading)).toMatchObject({ isOk: true, value: { results: [] } });
+      expect(time.nowMs() - startMs).toBeLessThan(200);
+      expect(reads.mock.calls.filter(([{ partition }]) => partition === 'job').length).toBeLessThan(
+        3,
+      );
+      reads.mockRestore();
+    }
+  });
+
   it('are there, and the former owner notices without an append of its own that it lost the job', async () => {
     await listAtNextOwner();
     expect(former.jobs.openCount).toBe(1);
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -115,7 +115,7 @@
         this.softwareHistory.onMembersChanged();
         this.takeover.search();
       },
-      onTermBegan: () => this.takeover.search(),
+      onTermBegan: () => this.takeover.compareOwn(),
     });
     const limits = sharedLimits.createSharedLimits({
       environment,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -157,6 +157,8 @@
 
   /** Called when a job was ended, through this gateway or another. */
   onJobEnded(id: string): void {
+    const cachedJob = this.jobCache.get(id);
+    if (cachedJob) this.jobCache.set(id, { ...cachedJob, isFinal: true });
     const owned = this.owned.get(id);
     if (!owned) return;
     if (owned.isOpen) owned.close(ownedJobs.JobCloseReason.Ended);
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -40,6 +40,8 @@
 export interface ResultsPage {
   readonly total: number;
   readonly results: readonly jobs.ItemResult[];
+  /** Whether the list gets no further results. */
+  readonly isFinal?: boolean;
 }
 
 /** Cached properties of a job that may run on another gateway. */
@@ -47,6 +49,8 @@
   readonly total: number;
   /** The owner when the head of the job was last read; null when it is not known. */
   readonly owner: records.JobOwner | null;
+  /** Whether nothing more is listed, as the job was ended or finished. */
+  readonly isFinal?: boolean;
 }
 
 export interface ResultReaderOptions {
@@ -93,7 +97,7 @@
       else {
         const stored = await this.readStored(id, position);
         if (!stored.isOk || stored.value.results.length > 0) return stored;
-        if (isLastRead) {
+        if (isLastRead || stored.value.isFinal) {
           this.logEmptyPage(id, position, owned);
           return stored;
         }
@@ -174,17 +178,20 @@
   private async readStored(id: string, position: number): Promise<answers.Answer<ResultsPage>> {
     const { store, jobCache } = this.options;
     let cachedJob = jobCache.get(id);
-    if (!cachedJob?.owner) {
+    if (!cachedJob?.owner && !cachedJob?.isFinal) {
       const state = await store.readHead(id);
       if (state === jobStores.UNREADABLE)
         return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
       if (!state) return answers.fail('unknown-job');
-      cachedJob = { total: state.head.total, owner: state.head.owner };
+      const { total, owner, isEnded, isFinished } = state.head;
+      cachedJob = { total, owner, isFinal: isEnded || isFinished };
       jobCache.set(id, cachedJob);
     }
+    // The results are read after it is known that no more are listed.
+    const isFinal = cachedJob.isFinal === true;
     const results = await store.readResults(id, position);
     if (results === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
-    return { isOk: true, value: { total: cachedJob.total, results } };
+    return { isOk: true, value: { total: cachedJob.total, results, isFinal } };
   }
 }
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -63,6 +63,12 @@
     return Promise.resolve();
   }
 
+  /** Compares the jobs that run here with the store, because this gateway was out of touch. */
+  async compareOwn(): Promise<void> {
+    const isCompared = await forAll(this.options.service.listOpen(), (job) => this.compare(job));
+    if (!isCompared) this.search();
+  }
+
   /** Searches for orphaned jobs now, because a gateway may have died or released jobs. */
   search(): void {
     if (this.isSearching) this.isSearchRequested = true;
@@ -110,11 +116,11 @@
 
   private async takeOverOrphans(): Promise<boolean> {
     const { store, service } = this.options;
-    const isCompared = await forAll(service.listOpen(), (job) => this.compare(job));
     const open = await store.listOpen();
     if (open === jobStores.UNREADABLE) return false;
     const otherJobs = open.filter((id) => !service.has(id));
-    return (await forAll(otherJobs, (id) => this.takeOverIfResponsible(id))) && isCompared;
+    const areTaken = await forAll(otherJobs, (id) => this.takeOverIfResponsible(id));
+    return (await forAll(service.listOpen(), (job) => this.compare(job))) && areTaken;
   }
 
   /** Compares a job that runs here with the store; returns false to try it again soon. */
