A gateway that stood still keeps the texts of its items

A trainer's step came late after its gateway had stood still for a second: all items began anew. Cause: all streams seemed silent at once, so all replicas were avoided for a while, and a text whose replicas are all avoided was discarded for a replica of other software, though there was none that worked. It is now discarded only if such a replica works. Evidence: texts-after-gaps failed before (6 of 6 items began anew), found in the review of the incident; it passes.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -210,8 +210,9 @@
   }
 
   /**
-   * The replicas that may run an item. A text that has begun goes on where its software serves and
-   * works; when there is no such replica, it is discarded and begins anew anywhere.
+   * The replicas that may run an item. A text that has begun goes on where its software serves; when
+   * only replicas of other software work, it is discarded and begins anew there. While no replica seems
+   * to work, it is kept: this gateway may have stood still itself.
    */
   private listSuitable(
     job: ownedJobs.OwnedJob,
@@ -222,12 +223,14 @@
     const { directory, environment } = this.options;
     if (itemProgress.lastEvent !== undefined) {
       const { software } = itemProgress;
-      const same = route.services
-        .flatMap(({ service }) => directory.list(service))
-        .filter(({ replica }) => softwares.identifySoftware(replica) === software);
-      const isContinued =
-        software !== undefined && same.some(({ health }) => !health.isEjected(nowMs));
-      if (isContinued) return same;
+      const serving = route.services.flatMap(({ service }) => directory.list(service));
+      const same = serving.filter(
+        ({ replica }) => softwares.identifySoftware(replica) === software,
+      );
+      const isWorking = ({ health }: directories.TrackedReplica): boolean =>
+        !health.isEjected(nowMs);
+      const isContinued = same.some(isWorking) || (same.length > 0 && !serving.some(isWorking));
+      if (software !== undefined && isContinued) return same;
       environment.log.info('text discarded, as no replica can go on with it', {
         job: job.id,
         item: itemProgress.item.id,
