A slow read of the members calls none gone that renewed its row meanwhile

The jobs of a sound gateway could be taken over and begun anew while the store was slow: the time for which a row had been unchanged was counted to the end of the read that showed it, though the row is that of some moment since its start. It is now counted to the start.

--- a/packages/gateway/__tests__/membership.test.ts
+++ b/packages/gateway/__tests__/membership.test.ts
@@ -53,6 +53,18 @@
     expect(view.isGone('b', 'first')).toBe(true);
   });
 
+  it('considers no member gone that may have renewed its row while the rows were read', () => {
+    const view = membership.Membership.create();
+    updatePeriodically(view, 0, 500, ['a', 'b']);
+    const unchanged = ['a', 'b'].map((vm) => createRecord(vm, 501));
+    view.update(unchanged, 1100);
+    // Sent before the row of b was due, answered after it would have expired.
+    view.update(unchanged, 2200, 1600);
+    expect(view.isGone('b', 'first')).toBe(false);
+    view.update(unchanged, 2900, 2800);
+    expect(view.isGone('b', 'first')).toBe(true);
+  });
+
   it('considers a restarted or stopped process gone at once', () => {
     const view = membership.Membership.create();
     view.update([createRecord('a', 1), createRecord('b', 1)], 0);
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -201,6 +201,7 @@
 
   private async readMembers(): Promise<boolean> {
     const { store, failureDomains, environment } = this.options;
+    const sentMs = environment.nowMs();
     const outcomes = await Promise.all(
       failureDomains.map((partition) => store.read({ table: MEMBERS_TABLE, partition })),
     );
@@ -209,7 +210,7 @@
       if (outcome.status !== stores.StoreStatus.Done) return false;
       records.push(...outcome.rows.flatMap(decodeRecord));
     }
-    this.view.update(records, environment.nowMs());
+    this.view.update(records, environment.nowMs(), sentMs);
     const processes = new Set(records.map(identifyProcess));
     this.stoppingIncarnations.forEach((process) => {
       if (!processes.has(process)) this.stoppingIncarnations.delete(process);
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -4,7 +4,8 @@
  *
  * A member is gone when its row stayed unchanged for the expiry time while this process could read
  * the store, when its row was removed, or when its VM runs a newer process. Time in which the
- * store could not be read does not count towards expiry, so an outage removes no member.
+ * store could not be read does not count towards expiry, so an outage removes no member. A read shows
+ * the rows as they were at some time between its start and its end.
  */
 
 /** A member's row. */
@@ -36,6 +37,7 @@
 
 interface ObservedMember {
   readonly record: MemberRecord;
+  /** The end of the read that first showed this revision. */
   readonly changedMs: number;
 }
 
@@ -43,6 +45,9 @@
 export class Membership {
   private readonly members = new Map<string, ObservedMember>();
 
+  /** The start and the end of the last read. */
+  private readFromMs = -Infinity;
+
   private lastReadMs = -Infinity;
 
   static create(): Membership {
@@ -63,10 +68,15 @@
     return this.intervalMs * EXPIRY_INTERVALS;
   }
 
-  /** Replaces the view with the rows that were read at `nowMs`. */
-  update(records: readonly MemberRecord[], nowMs: number): void {
+  /**
+   * Replaces the view with the rows that were read.
+   * @param nowMs the end of the read
+   * @param sentMs its start
+   */
+  update(records: readonly MemberRecord[], nowMs: number, sentMs = nowMs): void {
     const hasGap = nowMs - this.lastReadMs > this.intervalMs * MAXIMUM_GAP_INTERVALS;
     this.lastReadMs = nowMs;
+    this.readFromMs = sentMs;
     const former = new Map(this.members);
     this.members.clear();
     records.forEach((record) => {
@@ -80,7 +90,7 @@
   /** The live members, as of the last read. */
   listLive(): MemberRecord[] {
     return [...this.members.values()]
-      .filter((observed) => this.lastReadMs - observed.changedMs < this.expiryMs)
+      .filter((observed) => !this.hasExpired(observed))
       .map((observed) => observed.record);
   }
 
@@ -89,6 +99,10 @@
     if (this.lastReadMs === -Infinity) return false;
     const observed = this.members.get(vm);
     if (!observed || observed.record.incarnation !== incarnation) return true;
-    return this.lastReadMs - observed.changedMs >= this.expiryMs;
+    return this.hasExpired(observed);
+  }
+
+  private hasExpired({ changedMs }: ObservedMember): boolean {
+    return this.readFromMs - changedMs >= this.expiryMs;
   }
 }
