One failure of a domain no longer quarantines the request that was retried within it

Cause: both ends counted as independent, although a retry follows at once and may meet the same failure. Evidence now names the attempt and the failure domain of the replica. Of the ends of one attempt in one domain one counts for more, so a third end is required; a third end of any kind still suffices. A suspect request is retried in another failure domain where there is one, so a request that crashes replicas is still recognised by its second crash. Rows of older gateways name neither and count as before; older gateways ignore the new fields.

--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -10,6 +10,10 @@
  * so reports may arrive in any order and more than once. A replica counts for more against the request
  * that explains most ends of replicas among those that ran there. A request that was answered is
  * cleared, and explains none.
+ *
+ * A power failure ends replicas of one failure domain shortly after one another, and an attempt is
+ * retried at once: of the replicas of one failure domain that ended under one attempt, only one
+ * counts for more.
  */
 import type * as clocks from '../types/clock';
 
@@ -21,6 +25,20 @@
   readonly replica: string;
   /** Time since the replica ended. */
   readonly ageMs: number;
+  /** The attempt that the replica was running; undefined: not known. */
+  readonly attempt?: string | undefined;
+  /** The failure domain of the replica; undefined: not known. */
+  readonly failureDomain?: string | undefined;
+}
+
+/** An ended replica of one request. */
+interface End {
+  readonly endedMs: number;
+  /**
+   * Equal for ends that may have one cause that is not the request. The end of an attempt or domain
+   * that is not known has a cause of its own.
+   */
+  readonly cause: string;
 }
 
 /** What the evidence says about a request. */
@@ -49,7 +67,7 @@
 const MAXIMUM_FINGERPRINTS = 4096;
 /** Replicas that are remembered for one request. */
 const MAXIMUM_REPLICAS = 16;
-/** Weight of a replica whose end others may explain as well: three of them are required. */
+/** Weight of a replica whose end something else may explain as well: three of them are required. */
 const AMBIGUOUS_WEIGHT = 2;
 /** Weight of a replica whose end this request explains best: two of them suffice. */
 const EXPLAINED_WEIGHT = 3;
@@ -57,8 +75,8 @@
 
 /** The evidence that one process knows, its own and that of others. */
 export class Quarantine {
-  /** When replicas ended: by fingerprint, in the order of the last change, and by replica. */
-  private readonly evidence = new Map<string, Map<string, number>>();
+  /** The ends of replicas: by fingerprint, in the order of the last change, and by replica. */
+  private readonly evidence = new Map<string, Map<string, End>>();
 
   private readonly fingerprints = new Map<string, Set<string>>();
 
@@ -79,12 +97,13 @@
   }
 
   /** Adds evidence; returns false if it was known. */
-  record({ fingerprint, replica, ageMs }: EndedReplica): boolean {
+  record(ended: EndedReplica): boolean {
+    const { fingerprint, replica, ageMs } = ended;
     if (ageMs >= QUARANTINE_EVIDENCE_LIFETIME_MS) return false;
-    const replicas = this.evidence.get(fingerprint) ?? new Map<string, number>();
+    const replicas = this.evidence.get(fingerprint) ?? new Map<string, End>();
     const known = replicas.get(replica);
-    const endedMs = this.clock.nowMs() - ageMs;
-    replicas.set(replica, Math.max(endedMs, known ?? -Infinity));
+    const end = { endedMs: this.clock.nowMs() - ageMs, cause: identifyCause(ended) };
+    replicas.set(replica, known ? mergeEnds(known, end) : end);
     this.evidence.delete(fingerprint);
     this.evidence.set(fingerprint, replicas);
     const neighbours = this.fingerprints.get(replica) ?? new Set<string>();
@@ -114,15 +133,10 @@
   judge(fingerprint: string): QuarantineVerdict {
     this.expire(fingerprint);
     const replicas = [...(this.evidence.get(fingerprint) ?? [])];
-    const weight = replicas
-      .map(([replica]) =>
-        this.explainsBest(fingerprint, replica) ? EXPLAINED_WEIGHT : AMBIGUOUS_WEIGHT,
-      )
-      .reduce((sum, replicaWeight) => sum + replicaWeight, 0);
-    const newestMs = Math.max(...replicas.map(([, endedMs]) => endedMs));
+    const newestMs = Math.max(...replicas.map(([, { endedMs }]) => endedMs));
     const ageMs = replicas.length === 0 ? 0 : Math.max(0, this.clock.nowMs() - newestMs);
     return {
-      state: chooseState(weight),
+      state: chooseState(this.weigh(fingerprint, replicas)),
       endedReplicas: replicas.length,
       ageMs,
       remainingMs: replicas.length === 0 ? 0 : QUARANTINE_EVIDENCE_LIFETIME_MS - ageMs,
@@ -134,6 +148,13 @@
     [...this.evidence.keys()].forEach((fingerprint) => this.expire(fingerprint));
   }
 
+  private weigh(fingerprint: string, replicas: readonly (readonly [string, End])[]): number {
+    const explained = replicas.filter(([replica]) => this.explainsBest(fingerprint, replica));
+    const causes = new Set(explained.map(([, { cause }]) => cause));
+    const ambiguous = replicas.length - causes.size;
+    return causes.size * EXPLAINED_WEIGHT + ambiguous * AMBIGUOUS_WEIGHT;
+  }
+
   /** Whether more replicas ended under a request than under any other that ran on this replica. */
   private explainsBest(fingerprint: string, replica: string): boolean {
     const others = [...(this.fingerprints.get(replica) ?? [])].filter(
@@ -147,15 +168,15 @@
   private expire(fingerprint: string): void {
     const oldestMs = this.clock.nowMs() - QUARANTINE_EVIDENCE_LIFETIME_MS;
     [...(this.evidence.get(fingerprint) ?? [])]
-      .filter(([, endedMs]) => endedMs <= oldestMs)
+      .filter(([, { endedMs }]) => endedMs <= oldestMs)
       .forEach(([replica]) => this.withdraw(fingerprint, replica));
   }
 
-  private limitMemory(fingerprint: string, replicas: ReadonlyMap<string, number>): void {
+  private limitMemory(fingerprint: string, replicas: ReadonlyMap<string, End>): void {
     if (replicas.size > MAXIMUM_REPLICAS) {
       const [oldest] = [...replicas].sort(
-        ([firstReplica, firstMs], [secondReplica, secondMs]) =>
-          firstMs - secondMs || (firstReplica < secondReplica ? -1 : 1),
+        ([firstReplica, first], [secondReplica, second]) =>
+          first.endedMs - second.endedMs || (firstReplica < secondReplica ? -1 : 1),
       );
       if (oldest) this.withdraw(fingerprint, oldest[0]);
     }
@@ -167,6 +188,19 @@
   }
 }
 
+function identifyCause({ replica, attempt, failureDomain }: EndedReplica): string {
+  const isKnown = attempt !== undefined && failureDomain !== undefined;
+  return JSON.stringify(isKnown ? [attempt, failureDomain] : [replica]);
+}
+
+/** Combines reports of several gateways about the same end; their order does not matter. */
+function mergeEnds(first: End, second: End): End {
+  return {
+    endedMs: Math.max(first.endedMs, second.endedMs),
+    cause: first.cause < second.cause ? first.cause : second.cause,
+  };
+}
+
 function chooseState(weight: number): QuarantineState {
   if (weight >= WEIGHT_LIMIT) return QuarantineState.Quarantined;
   return weight > 0 ? QuarantineState.Suspect : QuarantineState.Clear;
--- a/packages/gateway/__tests__/evidence-task.test.ts
+++ b/packages/gateway/__tests__/evidence-task.test.ts
@@ -49,6 +49,22 @@
     expect(quarantine.judge(FINGERPRINT).state).toBe(decisions.QuarantineState.Suspect);
   });
 
+  it.each([
+    ['names no attempt, as those of older gateways', {}, decisions.QuarantineState.Quarantined],
+    [
+      'names the attempt and the failure domain',
+      { attempt: 'attempt 1', failureDomain: 'domain-a' },
+      decisions.QuarantineState.Suspect,
+    ],
+  ])('is weighed as its writer did if it %s', (_name, cause, expected) => {
+    const changes = ['i-1', 'i-2'].map((replica) => {
+      const evidence = { fingerprint: FINGERPRINT, replica, endedMs: time.nowMs(), ...cause };
+      return { ...evidenceRows.encodeEvidence(evidence), revision: 1, isRemoved: false };
+    });
+    task.onChanges(changes);
+    expect(quarantine.judge(FINGERPRINT).state).toBe(expected);
+  });
+
   it('is removed whole once it has expired, however much there is', async () => {
     for (let count = 0; count < 250; count += 50) {
       const writes = Array.from({ length: 50 }, (_unused, index) =>
--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -225,6 +225,22 @@
     for (const entry of gateways) expect(await sendAndSettle(entry, DEADLY)).toBe('200');
   });
 
+  it('is retried in another failure domain, and recognised by its second crash', async () => {
+    system.configure(systems.createConfiguration(2, { maximumAttempts: 2 }));
+    REPLICAS.forEach((id) => system.store.remove('replicas', '', id));
+    ['a1', 'a2', 'a3', 'a4', 'b1'].forEach((id) =>
+      system.addReplica(id, { isPlain: true, failureDomain: `domain-${id.slice(0, 1)}` }),
+    );
+    const [first, second] = await startAll();
+    await sendAndSettle(first, DEADLY);
+    const domains = system.replicas.crashes.map((id) => id.slice(0, 1));
+    expect([...domains].sort()).toEqual(['a', 'b']);
+    await time.advance(1000);
+    expect(await sendAndSettle(first, DEADLY)).toBe('request-quarantined');
+    expect(await sendAndSettle(second, DEADLY)).toBe('request-quarantined');
+    expect(system.replicas.crashes).toHaveLength(2);
+  });
+
   it('is refused as a stream, too', async () => {
     const configuration = systems.createConfiguration(2);
     const [, plain] = configuration.routes;
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -197,6 +197,7 @@
       readonly isDraining?: boolean;
       /** The version of its software; null: it names none. */
       readonly softwareVersion?: string | null;
+      readonly failureDomain?: string;
     } = {},
   ): void {
     const value = JSON.stringify({
@@ -205,6 +206,7 @@
       isDraining: options.isDraining ?? false,
       bornMs: options.bornMs ?? 1,
       softwareVersion: options.softwareVersion === undefined ? 'v1' : options.softwareVersion,
+      failureDomain: options.failureDomain ?? 'domain-a',
     });
     this.replicas.versions.set(id, options.version ?? 1);
     this.store.write('replicas', '', id, value);
@@ -368,12 +370,13 @@
       readonly isDraining: boolean;
       readonly bornMs: number;
       readonly softwareVersion: string | null;
+      readonly failureDomain: string;
     };
     return {
       id: row.key,
       service: parsed.service,
       address: `${row.key}:1`,
-      failureDomain: 'domain-a',
+      failureDomain: parsed.failureDomain,
       slots: 4,
       isDraining: parsed.isDraining,
       bornMs: parsed.bornMs,
--- a/packages/gateway/src/quarantine/evidence-rows.ts
+++ b/packages/gateway/src/quarantine/evidence-rows.ts
@@ -27,6 +27,10 @@
   readonly fingerprint: string;
   readonly replica: string;
   readonly endedMs: number;
+  /** The attempt that the replica was running; rows of older gateways do not name it. */
+  readonly attempt?: string | undefined;
+  /** The failure domain of the replica; rows of older gateways do not name it. */
+  readonly failureDomain?: string | undefined;
 }
 
 /** The address of a row; it depends on the request and the replica only. */
@@ -37,9 +41,9 @@
 }
 
 export function encodeEvidence(evidence: StoredEvidence): stores.RowWrite {
-  const { fingerprint, replica, endedMs } = evidence;
-  const value = Buffer.from(JSON.stringify({ replica, endedMs: Math.round(endedMs) }));
-  return { ...locateEvidence(fingerprint, replica), value };
+  const { fingerprint, replica, endedMs, attempt, failureDomain } = evidence;
+  const value = { replica, endedMs: Math.round(endedMs), attempt, failureDomain };
+  return { ...locateEvidence(fingerprint, replica), value: Buffer.from(JSON.stringify(value)) };
 }
 
 /** Decodes a row; undefined when no gateway can have written it. */
@@ -50,7 +54,14 @@
     const value = JSON.parse(row.value.toString()) as Partial<StoredEvidence>;
     const { replica, endedMs } = value;
     if (typeof replica !== 'string' || typeof endedMs !== 'number') return undefined;
-    return { fingerprint, replica, endedMs };
+    const attempt = decodeText(value.attempt);
+    return {
+      fingerprint,
+      replica,
+      endedMs,
+      attempt,
+      failureDomain: decodeText(value.failureDomain),
+    };
   } catch {
     // A row that is not JSON was not written by a gateway.
     return undefined;
@@ -59,8 +70,12 @@
 
 /** Converts stored evidence to what this process records. */
 export function toEndedReplica(
-  { fingerprint, replica, endedMs }: StoredEvidence,
+  { endedMs, ...ended }: StoredEvidence,
   storeNowMs: number,
 ): decisions.EndedReplica {
-  return { fingerprint, replica, ageMs: Math.max(0, storeNowMs - endedMs) };
+  return { ...ended, ageMs: Math.max(0, storeNowMs - endedMs) };
+}
+
+function decodeText(value: unknown): string | undefined {
+  return typeof value === 'string' ? value : undefined;
 }
--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -25,6 +25,9 @@
 
   private lastLossMs = -Infinity;
 
+  /** The failure domains of the replicas that were lost under this attempt. */
+  private readonly lostDomains = new Set<string>();
+
   private constructor(
     private readonly request: replicas.ReplicaRequest,
     private readonly quarantine: requestQuarantines.RequestQuarantine,
@@ -51,7 +54,8 @@
 
   /**
    * The replicas to which the request may be sent now. A suspect request goes to one replica at a
-   * time, and if possible not to one that runs another suspect request.
+   * time, if possible not to one that runs another suspect request, and to another failure domain:
+   * what ends a whole domain is then not taken for an effect of the request.
    */
   selectReplicas(
     candidates: readonly directories.TrackedReplica[],
@@ -59,8 +63,8 @@
     const { state } = this;
     if (state === decisions.QuarantineState.Clear) return candidates;
     if (state === decisions.QuarantineState.Quarantined || this.running > 0) return [];
-    const separate = candidates.filter(({ replica }) => !this.quarantine.hasSuspect(replica));
-    return separate.length > 0 ? separate : candidates;
+    const separate = prefer(candidates, (replica) => !this.quarantine.hasSuspect(replica));
+    return prefer(separate, ({ failureDomain }) => !this.lostDomains.has(failureDomain));
   }
 
   /**
@@ -83,9 +87,7 @@
   }
 
   private isRepeatedLoss(outcome: replicas.CallOutcome, startMs: number): boolean {
-    const isLost =
-      outcome.status === replicas.CallStatus.Broken && outcome.isConnectionLost === true;
-    if (!isLost) return false;
+    if (!isLost(outcome)) return false;
     const isRepeated =
       startMs < this.lastLossMs && this.nowMs() - this.lastLossMs < COMMON_CAUSE_MS;
     if (!isRepeated) this.lastLossMs = this.nowMs();
@@ -101,6 +103,7 @@
     const startMs = this.nowMs();
     this.running += 1;
     const outcome = await act();
+    if (isLost(outcome)) this.lostDomains.add(replica.failureDomain);
     if (!this.isRepeatedLoss(outcome, startMs)) {
       await this.quarantine.examine(this.request, replica, outcome);
     }
@@ -109,3 +112,16 @@
     return outcome;
   }
 }
+
+function isLost(outcome: replicas.CallOutcome): boolean {
+  return outcome.status === replicas.CallStatus.Broken && outcome.isConnectionLost === true;
+}
+
+/** The replicas that meet a condition, or all if there are none. */
+function prefer(
+  candidates: readonly directories.TrackedReplica[],
+  condition: (replica: replicas.Replica) => boolean,
+): readonly directories.TrackedReplica[] {
+  const preferred = candidates.filter(({ replica }) => condition(replica));
+  return preferred.length > 0 ? preferred : candidates;
+}
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -127,7 +127,9 @@
     const { environment, quarantine, reporter, storeNowMs } = this.options;
     const fingerprint = this.computeFingerprint(request);
     const incarnation = replicaProbes.createIncarnationKey(replica);
-    if (!quarantine.record({ fingerprint, replica: incarnation, ageMs: 0 })) return;
+    const { failureDomain } = replica;
+    const ended = { fingerprint, replica: incarnation, attempt: request.id, failureDomain };
+    if (!quarantine.record({ ...ended, ageMs: 0 })) return;
     const { state, endedReplicas } = this.judge(fingerprint);
     environment.metrics.count('quarantine_evidence', { source: 'own' });
     environment.log.info('replica ended under a request', {
@@ -137,9 +139,7 @@
       endedReplicas,
       state,
     });
-    const endedMs = storeNowMs();
-    const row = { fingerprint, replica: incarnation, endedMs };
-    reporter.report(evidenceRows.encodeEvidence(row));
+    reporter.report(evidenceRows.encodeEvidence({ ...ended, endedMs: storeNowMs() }));
     if (state === decisions.QuarantineState.Quarantined) await reporter.flush(REPORT_WAIT_MS);
   }
 
