A request quarantined after two crashes is sent on trial after a minute or two

Cause: only an answer clears a request, and a quarantined one is never sent. While just two replicas have ended, a gateway now sends one attempt a minute as it sends a suspect one: to one replica at a time, apart from other suspects. The first follows one to two minutes after the second end, at another time for each gateway. An answer clears the request at all gateways; a third end ends the trials. Retry-After names the next trial instead of the end of the evidence.

Evidence: four new cases of request-quarantine failed before and pass: an innocent request is answered within two minutes, one that crashes replicas crashes one more in ten minutes at three gateways, one attempt and one replica at a time, a next trial if the first had no outcome.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -1,7 +1,11 @@
 import * as fastCheck from 'fast-check';
 import * as decisions from '@azureworks/decisions';
 
-const { QUARANTINE_EVIDENCE_LIFETIME_MS: LIFETIME_MS, QuarantineState } = decisions;
+const {
+  QUARANTINE_EVIDENCE_LIFETIME_MS: LIFETIME_MS,
+  QuarantineState,
+  TRIAL_INTERVAL_MS,
+} = decisions;
 const MAXIMUM_FINGERPRINTS = 4096;
 
 interface Report {
@@ -146,6 +150,18 @@
     expect(judge('a')).toBe(QuarantineState.Quarantined);
   });
 
+  it('allows a trial an interval after the second end, and none after a third', () => {
+    ['r1', 'r2'].forEach((replica) => quarantine.record(report('a', replica)));
+    expect(quarantine.getTrialDelayMs('a', 0)).toBe(TRIAL_INTERVAL_MS);
+    expect(quarantine.getTrialDelayMs('a', 0.5)).toBe(1.5 * TRIAL_INTERVAL_MS);
+    clock.advance(TRIAL_INTERVAL_MS);
+    expect(quarantine.getTrialDelayMs('a', 0)).toBe(0);
+    quarantine.record(report('a', 'r3'));
+    expect(quarantine.getTrialDelayMs('a', 0)).toBe(LIFETIME_MS);
+    clock.advance(TRIAL_INTERVAL_MS);
+    expect(quarantine.getTrialDelayMs('a', 0)).toBe(LIFETIME_MS - TRIAL_INTERVAL_MS);
+  });
+
   it('never quarantines a request under which fewer than two replicas ended', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.array(reportArbitrary, { maxLength: 40 }), (reports) => {
--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -14,6 +14,10 @@
  * A power failure ends replicas of one failure domain shortly after one another, and an attempt is
  * retried at once: of the replicas of one failure domain that ended under one attempt, only one
  * counts for more.
+ *
+ * Two replicas may still have ended by coincidence, and a request that is not sent cannot be cleared.
+ * A request that is quarantined on the evidence of two is therefore sent on trial after a while, by
+ * each gateway at another time: an answer clears it, and a third end confirms the quarantine.
  */
 import type * as clocks from '../types/clock';
 
@@ -63,6 +67,10 @@
 
 /** How long evidence counts. */
 export const QUARANTINE_EVIDENCE_LIFETIME_MS = 600_000;
+/** Time from the newest evidence to the first trial, and between the trials of one gateway. */
+export const TRIAL_INTERVAL_MS = 60_000;
+/** Ended replicas that confirm a quarantine: the request is not sent on trial. */
+const CONFIRMING_REPLICAS = 3;
 /** Requests for which evidence is kept; the oldest with a single ended replica is dropped first. */
 const MAXIMUM_FINGERPRINTS = 4096;
 /** Replicas that are remembered for one request. */
@@ -143,6 +151,17 @@
     };
   }
 
+  /**
+   * Time after which a quarantined request may be sent on trial. If its quarantine is confirmed, that
+   * is not before the evidence expires.
+   * @param draw distributes the trials of gateways over an interval, in [0, 1)
+   */
+  getTrialDelayMs(fingerprint: string, draw: number): number {
+    const { endedReplicas, ageMs, remainingMs } = this.judge(fingerprint);
+    if (endedReplicas >= CONFIRMING_REPLICAS) return remainingMs;
+    return Math.max(0, TRIAL_INTERVAL_MS * (1 + draw) - ageMs);
+  }
+
   /** Removes everything that has expired. */
   expireAll(): void {
     [...this.evidence.keys()].forEach((fingerprint) => this.expire(fingerprint));
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -25,6 +25,7 @@
 export {
   type EndedReplica,
   QUARANTINE_EVIDENCE_LIFETIME_MS,
+  TRIAL_INTERVAL_MS,
   Quarantine,
   QuarantineState,
   type QuarantineVerdict,
--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -13,6 +13,10 @@
 /** Within this time of the third crash, all gateways must refuse the request. */
 const SHARED_WITHIN_MS = 3000;
 const EXPIRY_MS = 600_000;
+/** The longest time from the second end to the first trial at a gateway. */
+const LATEST_TRIAL_MS = 120_000;
+const RETURN_INTERVAL_MS = 1000;
+const TRIAL_TEST_TIMEOUT_MS = 60_000;
 
 describe('a request that crashes each replica that runs it', () => {
   let system: systems.TestSystem;
@@ -257,6 +261,79 @@
     expect(await sendAndSettle(second, 'innocent')).toBe('streamed');
   });
 
+  describe('when it crashed only two replicas', () => {
+    let gateways: gateway.Gateway[];
+
+    let startedMs: number;
+
+    beforeEach(async () => {
+      startedMs = time.nowMs();
+      system.configure(systems.createConfiguration(2, { maximumAttempts: 1 }));
+      gateways = await startAll();
+      for (const entry of gateways.slice(0, 2)) {
+        await sendAndSettle(entry, DEADLY);
+        await time.advance(fakeReplicas.RESTART_MS + SHARED_WITHIN_MS);
+      }
+      expect(await sendAndSettle(gateways[2], DEADLY)).toBe('request-quarantined');
+      expect(system.replicas.crashes).toHaveLength(2);
+    });
+
+    it('is sent on trial and cleared everywhere by an answer, so an innocent one is not refused for long', async () => {
+      system.replicas.deadlyBodies.clear();
+      const refusedMs = time.nowMs();
+      let answered = 'request-quarantined';
+      for (let count = 0; answered !== '200'; count += 1) {
+        expect(time.nowMs() - refusedMs).toBeLessThan(LATEST_TRIAL_MS);
+        await time.advance(RETURN_INTERVAL_MS);
+        answered = await sendAndSettle(gateways[count % gateways.length], DEADLY);
+      }
+      await time.advance(SHARED_WITHIN_MS);
+      for (const entry of gateways) expect(await sendAndSettle(entry, DEADLY)).toBe('200');
+      expect(listEvidence()).toEqual([]);
+    });
+
+    it(
+      'crashes a third replica on trial, and none after that while the evidence lasts',
+      async () => {
+        const { crashes } = system.replicas;
+        // The evidence of each end expires by itself, that of the first crash at first.
+        const endMs = startedMs + EXPIRY_MS - 2 * RETURN_INTERVAL_MS;
+        for (let count = 0; time.nowMs() < endMs; count += 1) {
+          await time.advance(RETURN_INTERVAL_MS);
+          await sendAndSettle(gateways[count % gateways.length], DEADLY);
+        }
+        expect(crashes).toHaveLength(3);
+      },
+      TRIAL_TEST_TIMEOUT_MS,
+    );
+
+    it('is on trial on one replica, with one attempt of a gateway at a time', async () => {
+      system.configure(systems.createConfiguration(3, { maximumAttempts: 3 }));
+      await time.advance(LATEST_TRIAL_MS);
+      const { length } = system.replicas.calls;
+      const [entry] = gateways;
+      const replies = [send(entry, DEADLY), send(entry, DEADLY), send(entry, DEADLY)];
+      await time.settle(Promise.all(replies));
+      expect(system.replicas.calls.slice(length)).toHaveLength(1);
+      expect(system.replicas.crashes).toHaveLength(3);
+    });
+
+    it('may be on trial once more if its caller left before the end of the first trial', async () => {
+      system.replicas.deadlyBodies.clear();
+      REPLICAS.forEach((id) => {
+        system.replicas.getBehaviour(id).isSilent = true;
+      });
+      await time.advance(LATEST_TRIAL_MS);
+      expect(await sendAndSettle(gateways[0], DEADLY)).not.toBe('request-quarantined');
+      REPLICAS.forEach((id) => {
+        system.replicas.getBehaviour(id).isSilent = false;
+      });
+      expect(await sendAndSettle(gateways[0], DEADLY)).toBe('request-quarantined');
+      await time.advance(LATEST_TRIAL_MS);
+      expect(await sendAndSettle(gateways[0], DEADLY)).toBe('200');
+    });
+  });
+
   describe('compared with a request on a replica that did not crash', () => {
     async function breakOff(interrupt: (replica: string) => void): Promise<void> {
       const [entry] = await startAll();
--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -78,7 +78,7 @@
 
   private get state(): decisions.QuarantineState {
     if (this.quarantine.isEmpty) return decisions.QuarantineState.Clear;
-    return this.quarantine.judge(this.getFingerprint()).state;
+    return this.quarantine.judgeAttempt(this.getFingerprint(), this.request.id);
   }
 
   private getFingerprint(): string {
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -11,6 +11,7 @@
 import * as fingerprints from './fingerprint';
 import * as guardedRequests from './guarded-request';
 import * as replicaProbes from './replica-probes';
+import * as requestTrials from './request-trials';
 
 export interface RequestQuarantineOptions {
   readonly environment: environments.Environment;
@@ -35,6 +36,8 @@
 export class RequestQuarantine {
   private readonly probes: replicaProbes.ReplicaProbes;
 
+  private readonly trials: requestTrials.RequestTrials;
+
   private readonly callerHeaders: ReadonlySet<string>;
 
   /** Number of calls of suspect requests in flight, by replica. */
@@ -42,6 +45,7 @@
 
   private constructor(private readonly options: RequestQuarantineOptions) {
     this.probes = replicaProbes.ReplicaProbes.create(options);
+    this.trials = requestTrials.RequestTrials.create(options.environment, options.quarantine);
     this.callerHeaders = new Set(options.callerHeaders);
     options.environment.metrics.gauge('quarantine_requests', {}, () => options.quarantine.size);
   }
@@ -62,6 +66,11 @@
     const verdict = this.judge(fingerprint);
     if (verdict.state !== decisions.QuarantineState.Quarantined) return undefined;
     const { log, metrics } = this.options.environment;
+    if (this.trials.begin(fingerprint, request.id)) {
+      metrics.count('quarantine_trials');
+      log.info('quarantined request on trial', { request: request.id, fingerprint });
+      return undefined;
+    }
     metrics.count('quarantine_refusals');
     log.info('request quarantined', {
       request: request.id,
@@ -70,7 +79,7 @@
       ageMs: Math.round(verdict.ageMs),
     });
     return decisions.createFailure('request-quarantined', {
-      retryAfterMs: Math.ceil(verdict.remainingMs),
+      retryAfterMs: Math.ceil(this.trials.getDelayMs(fingerprint)),
     });
   }
 
@@ -84,7 +93,14 @@
     return fingerprints.computeFingerprint(request, this.callerHeaders);
   }
 
-  judge(fingerprint: string): decisions.QuarantineVerdict {
+  /** Judges an attempt at a request; on trial it is handled as that of a suspect one. */
+  judgeAttempt(fingerprint: string, attempt: string): decisions.QuarantineState {
+    const { state } = this.judge(fingerprint);
+    if (state !== decisions.QuarantineState.Quarantined) return state;
+    return this.trials.isOnTrial(fingerprint, attempt) ? decisions.QuarantineState.Suspect : state;
+  }
+
+  private judge(fingerprint: string): decisions.QuarantineVerdict {
     return this.options.quarantine.judge(fingerprint);
   }
 
