A gateway out of step no longer guesses at which software a stream began

Cause: `SoftwareHistory.findSole` took a directory that had not changed for 30 s for a service that had not changed for 30 s. Class: knowing nothing new was taken for knowing that nothing is new.

Evidence: `software-versions`, "and a gateway out of step".

Now a take-up is answered from the history only after a read of the replicas' changes that was sent after it arrived (`TableWatch.catchUp`); a stream cannot have begun at a replica that the store listed later than that. All take-ups that wait share one read, at most one in 100 ms at a gateway, and 400 a second over all; 400 take-ups within a second take at most 15 reads. When no read is answered in 1.5 s, or nothing is known, it is refused as not run. A full read of the replicas ends what was known of the time before: the service's row in the store then tells it, is read at a bounded rate, and is begun anew when its keeper saw a version come and go. A read for a catch-up may take as long as other calls of a slow store.

What a stale gateway begins is stored when it sees the change, or finds in the row that it missed one.

Changed tests: `store-access` passes the clock that a watch now needs.

--- a/packages/gateway/__tests__/software-versions.test.ts
+++ b/packages/gateway/__tests__/software-versions.test.ts
@@ -2,6 +2,7 @@
  * Replicas of two versions of their software serve side by side. What two versions write does not
  * fit together, so a text goes on only at the version that began it.
  */
+import * as decisions from '@azureworks/decisions';
 import type * as gateway from '@azureworks/gateway';
 import type * as fakeReplicas from './support/fake-replicas';
 import * as systems from './support/test-system';
@@ -223,6 +224,259 @@
     });
   });
 
+  describe('and a gateway out of step', () => {
+    /** Begins streams until one runs at a version, and leaves it. */
+    async function beginAt(entry: gateway.Gateway, version: string): Promise<string> {
+      for (let index = 0; index < 20; index += 1) {
+        const id = `first-${version}-${index}`;
+        system.replicas.eventCounts.set(id, 400);
+        const stream = open(entry, id);
+        await time.advance(100);
+        stream.leave();
+        if (findVersion(id) === version) return id;
+      }
+      throw new Error(`no stream began at ${version}`);
+    }
+
+    /** Cuts a gateway from the store, and lets the wait that is in flight there end. */
+    async function cut(connectivity: systems.Connectivity): Promise<void> {
+      Object.assign(connectivity, { isIsolated: true });
+      await time.advance(1500);
+    }
+
+    async function startTwo(): Promise<{
+      readonly calm: gateway.Gateway;
+      readonly late: gateway.Gateway;
+      readonly connectivity: systems.Connectivity;
+    }> {
+      addEngines('v1', ['e1', 'e2']);
+      const connectivity: systems.Connectivity = { isDirectCut: false };
+      const calm = await system.start('vm-1');
+      const late = await system.start('vm-2', 'vm-2-first', connectivity);
+      await time.advance(40_000);
+      return { calm, late, connectivity };
+    }
+
+    it('takes no stream for the version that it knew before it was cut from the store', async () => {
+      const { calm, late, connectivity } = await startTwo();
+      await cut(connectivity);
+      addEngines('v2', ['e3', 'e4']);
+      const first = await beginAt(calm, 'v2');
+      const stream = open(late, 'second', { afterEvent: 4, firstAttemptId: first });
+      await time.advance(4000);
+      expect(findVersion('second')).toBeUndefined();
+      expect(stream.reply).toMatchObject({
+        kind: 'failure',
+        failure: { code: 'unknown-stream', verdict: 'not-run' },
+      });
+      connectivity.isIsolated = false;
+      await time.advance(3000);
+      expect(await resume(late, first, 'third')).toEqual({ isResumed: true, version: 'v2' });
+    });
+
+    it('takes no stream for the version that it knew before it stood still', async () => {
+      const { calm, late, connectivity } = await startTwo();
+      connectivity.isStalled = true;
+      addEngines('v2', ['e3', 'e4']);
+      const first = await beginAt(calm, 'v2');
+      await time.advance(3000);
+      connectivity.isStalled = false;
+      expect(await resume(late, first, 'second')).toEqual({ isResumed: true, version: 'v2' });
+    });
+
+    it('takes no stream for the version that it knows while no gateway reaches the store', async () => {
+      const { late } = await startTwo();
+      system.isStoreAway = true;
+      const stream = open(late, 'second', { afterEvent: 4, firstAttemptId: 'unknown' });
+      await time.advance(4000);
+      expect(stream.reply).toMatchObject({
+        kind: 'failure',
+        failure: { code: 'unknown-stream', verdict: 'not-run' },
+      });
+    });
+
+    it('takes no stream for the version that it knew before it missed that another came and left', async () => {
+      const { calm, late, connectivity } = await startTwo();
+      await cut(connectivity);
+      addEngines('v2', ['e3', 'e4']);
+      await time.advance(3000);
+      const first = await beginAt(calm, 'v2');
+      await time.advance(1000);
+      removeEngines(['e3', 'e4']);
+      await time.advance(1000);
+      system.store.dropHistory();
+      connectivity.isIsolated = false;
+      await time.advance(3000);
+      expect(await resume(late, first, 'second')).toEqual({
+        isResumed: false,
+        version: undefined,
+      });
+    });
+
+    it('begins no stream at a version that left longer ago than a stream lasts', async () => {
+      const { calm, late, connectivity } = await startTwo();
+      addEngines('v2', ['e3', 'e4']);
+      await time.advance(1000);
+      await cut(connectivity);
+      removeEngines(['e3', 'e4']);
+      await time.advance(40_000);
+      const first = await beginAt(late, 'v2');
+      expect((await resume(calm, first, 'second')).version).not.toBe('v1');
+    });
+
+    it('confirms with few calls what it knows, for many streams that are taken up at once', async () => {
+      const { late } = await startTwo();
+      const wait = jest.spyOn(system.store, 'waitForChanges');
+      const streams: CallerStream[] = [];
+      for (let index = 0; index < 400; index += 1) {
+        streams.push(
+          open(late, `s${index}`, { afterEvent: 4, firstAttemptId: `unknown ${index}` }),
+        );
+        if (index % 4 === 3) await time.advance(10);
+      }
+      const replicaFeeds = wait.mock.calls.filter(([table]) => table === 'replicas');
+      expect(replicaFeeds.length).toBeLessThanOrEqual(15);
+      await time.advance(1000);
+      expect(streams.every(({ events }) => events.length > 0)).toBe(true);
+    });
+
+    it('lets a stream go on at once while nothing is wrong', async () => {
+      const { late } = await startTwo();
+      const stream = open(late, 'second', { afterEvent: 4, firstAttemptId: 'unknown' });
+      await time.advance(60);
+      expect(stream.events.length).toBeGreaterThan(0);
+      stream.leave();
+    });
+
+    const STEPS = 72;
+    /** The other versions leave after so many steps, for longer than a stream lasts. */
+    const STEPS_PER_ROUND = 12;
+    const ROUND_PAUSE_MS = 35_000;
+    const STEP_MS = 400;
+    const EXIT_MS = 10_000;
+    /** How long a gateway must have been undisturbed for its refusals to count. */
+    const CALM_MS = 5000;
+
+    /** One gateway of a random play. */
+    interface Player {
+      readonly entry: gateway.Gateway;
+      readonly connectivity: systems.Connectivity;
+      disturbedMs: number;
+    }
+
+    function disturb(player: Player, isIsolated: boolean, isStalled: boolean): void {
+      Object.assign(player.connectivity, { isIsolated, isStalled });
+      Object.assign(player, { disturbedMs: time.nowMs() });
+    }
+
+    /** Removes replicas, which serve for a while longer before they exit. */
+    function remove(ids: readonly string[]): void {
+      removeEngines(ids);
+      setTimeout(() => {
+        ids.forEach((id) => {
+          system.replicas.getBehaviour(id).refusals = Infinity;
+        });
+      }, EXIT_MS);
+    }
+
+    /** Adds or removes a replica, keeping two of the first version. */
+    function release(engines: Map<string, string>, random: () => number, step: number): void {
+      const others = [...engines].filter(([, version]) => version !== 'v1');
+      if (others.length > 0 && random() < 0.5) {
+        const [id] = others[Math.floor(random() * others.length)] ?? [''];
+        engines.delete(id);
+        remove([id]);
+        return;
+      }
+      const version = random() < 0.7 ? 'v2' : 'v3';
+      engines.set(`r${step}`, version);
+      addEngines(version, [`r${step}`]);
+    }
+
+    function isOut({ connectivity }: Player): boolean {
+      return connectivity.isIsolated === true || connectivity.isStalled === true;
+    }
+
+    function isCalm(player: Player): boolean {
+      return !isOut(player) && time.nowMs() - player.disturbedMs >= CALM_MS;
+    }
+
+    async function startPlayers(): Promise<Player[]> {
+      const players: Player[] = [];
+      for (const vm of ['vm-1', 'vm-2', 'vm-3']) {
+        const connectivity = { isDirectCut: false };
+        const entry = await system.start(vm, `${vm}-first`, connectivity);
+        players.push({ entry, connectivity, disturbedMs: -Infinity });
+      }
+      return players;
+    }
+
+    it.each([1, 2, 3, 4, 5, 6, 7, 8])(
+      'joins no versions in a random play of cuts, releases and take-ups (seed %i)',
+      async (seed) => {
+        const generator = decisions.SeededRandom.create(seed);
+        const random = (): number => generator.next();
+        addEngines('v1', ['e1', 'e2']);
+        const players = await startPlayers();
+        const pick = (): Player => players[Math.floor(random() * players.length)];
+        const engines = new Map<string, string>();
+        const firsts: { id: string; stream: CallerStream; isFromCalm: boolean }[] = [];
+        const joined: string[] = [];
+        const calm = { begun: 0, began: 0, taken: 0, resumed: 0 };
+        const disturbOrRelease = (step: number): void => {
+          const act = random();
+          const player = pick();
+          // Responses in flight are late in both cases.
+          if (act < 0.3 && !players.some(isOut)) disturb(player, random() < 0.5, true);
+          else if (act < 0.5) players.filter(isOut).forEach((out) => disturb(out, false, false));
+          else if (act < 0.75) release(engines, random, step);
+          else if (act < 0.8) system.store.dropHistory();
+        };
+        const begin = async (id: string): Promise<void> => {
+          const player = pick();
+          const isFromCalm = isCalm(player);
+          system.replicas.eventCounts.set(id, 400);
+          const stream = open(player.entry, id);
+          await time.advance(STEP_MS);
+          const hasBegun = stream.events.length > 0;
+          calm.begun += Number(isFromCalm);
+          calm.began += Number(isFromCalm && hasBegun);
+          if (hasBegun) firsts.push({ id, stream, isFromCalm });
+        };
+        const takeUp = async (id: string): Promise<void> => {
+          const former = firsts.at(-1 - Math.floor(random() * 3));
+          if (!former) return;
+          const player = pick();
+          const isCounted = isCalm(player) && former.isFromCalm;
+          former.stream.leave();
+          const again = open(player.entry, id, { afterEvent: 4, firstAttemptId: former.id });
+          await time.advance(STEP_MS);
+          again.leave();
+          const versions = [findVersion(former.id), findVersion(id)];
+          if (versions[1] !== undefined && versions[0] !== versions[1])
+            joined.push(`${former.id}, ${id}: ${versions.join(' and ')}`);
+          if (!isCounted || versions[0] !== 'v1') return;
+          calm.taken += 1;
+          calm.resumed += Number(again.events.length > 0);
+        };
+        for (let step = 0; step < STEPS; step += 1) {
+          if (step % STEPS_PER_ROUND === 0) {
+            remove([...engines.keys()]);
+            engines.clear();
+            firsts.length = 0;
+            await time.advance(ROUND_PAUSE_MS);
+          }
+          disturbOrRelease(step);
+          await begin(`first-${step}`);
+          await takeUp(`again-${step}`);
+        }
+        expect(joined).toEqual([]);
+        expect(calm.taken).toBeGreaterThan(0);
+        expect(calm.resumed / calm.taken).toBeGreaterThanOrEqual(calm.began / calm.begun / 2);
+      },
+    );
+  });
+
   describe('and what is stored of streams', () => {
     const countReads = (table: string, read: jest.SpyInstance): number =>
       read.mock.calls.filter(([range]) => (range as gateway.RowRange).table === table).length;
--- a/packages/gateway/__tests__/store-access.test.ts
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -166,6 +166,7 @@
           }),
       },
       log: runtime.SilentLog.create(),
+      nowMs: time.nowMs,
       pause: time.pause,
     });
     await watch.start();
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -11,6 +11,8 @@
 const OTHER_SERVICE = 'other';
 /** One way between two gateways. */
 const PEER_DELAY_MS = 1;
+/** How often a held response checks whether it may arrive. */
+const STALL_STEP_MS = 5;
 export const HOST = 'trainer.example';
 export const JOB_PATH = '/jobs/one';
 
@@ -150,6 +152,8 @@
   isIsolated?: boolean;
   /** Its connections to replicas are silent, as are those of a process that stands still. */
   isCutFromReplicas?: boolean;
+  /** Responses of the store do not arrive until this ends, as in a process that stands still. */
+  isStalled?: boolean;
   /** The process has died: nothing that it still does reaches the store or a replica. */
   isDead?: boolean;
   /** How far its view of the store's clock is behind, because responses arrived late. */
@@ -249,6 +253,9 @@
 
   /** Stops all gateways that were started. */
   async stopAll(): Promise<void> {
+    this.connectivityByAddress.forEach((connectivity) => {
+      Object.assign(connectivity, { isStalled: false });
+    });
     const stops = this.gateways.map((started) => started.stop());
     await time.advance(5000);
     await Promise.all(stops);
@@ -320,6 +327,7 @@
     let hasResponse = false;
     const call = async <Outcome>(act: () => Promise<Outcome>): Promise<Outcome> => {
       const outcome = await act();
+      while (connectivity.isStalled) await time.pause(STALL_STEP_MS);
       hasResponse = true;
       return outcome;
     };
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -144,10 +144,25 @@
     });
     const listWorkers = (): ReturnType<membershipTasks.MembershipTask['listWorkers']> =>
       this.members.listWorkers();
+    const countGateways = (): number => this.members.listPeers().length + 1;
+    const replicaWatch = tableWatches.TableWatch.create({
+      store: this.store,
+      table: options.tables.replicas,
+      observer: tableWatches.combineObservers([
+        directory,
+        { onSnapshot: () => this.softwareHistory.onFullRead(), onChanges: () => {} },
+      ]),
+      log,
+      nowMs,
+      pause: environment.pause,
+      countGateways,
+    });
     this.softwareHistory = softwareHistories.SoftwareHistory.create({
       environment,
       store: this.store,
       listWorkers,
+      catchUp: () => replicaWatch.catchUp(),
+      getReadIntervalMs: () => tableWatches.chooseCatchUpIntervalMs(countGateways()),
     });
     const origins = streamOrigins.StreamOrigins.create({
       environment,
@@ -222,12 +237,13 @@
         ...(partitions && { partitions }),
         observer,
         log,
+        nowMs,
         pause: environment.pause,
-        countGateways: () => this.members.listPeers().length + 1,
+        countGateways,
       });
     const tasks = [
       watch(options.tables.operator, configuration),
-      watch(options.tables.replicas, directory),
+      replicaWatch,
       watch(
         jobRecords.NOTICES_TABLE,
         tableWatches.combineObservers([limits.task, this.takeover, quarantine.evidenceTask]),
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -4,6 +4,7 @@
  */
 import type * as runtime from '@azureworks/runtime';
 import * as stores from '../types/store';
+import * as sharedCalls from './shared-call';
 
 /** Receives the rows and changes of a watched table. */
 export interface TableObserver {
@@ -28,6 +29,7 @@
   readonly partitions?: readonly string[];
   readonly observer: TableObserver;
   readonly log: runtime.Log;
+  readonly nowMs: () => number;
   readonly pause: (durationMs: number) => Promise<void>;
   /** The number of gateways that watch tables of this store. */
   readonly countGateways: () => number;
@@ -46,6 +48,12 @@
  */
 const MAXIMUM_WAITS_PER_SECOND = 200;
 const MILLISECONDS_PER_SECOND = 1000;
+/**
+ * The shortest time between two reads of the changes up to now, and what each gateway adds to it: all
+ * of them together make at most a fifth of the 2,000 reads per second that the store serves.
+ */
+const MINIMUM_CATCH_UP_INTERVAL_MS = 100;
+const CATCH_UP_INTERVAL_PER_GATEWAY_MS = 2.5;
 /** Backoff after failures; doubles with each failure. */
 const MINIMUM_BACKOFF_MS = 100;
 const MAXIMUM_BACKOFF_MS = 500;
@@ -60,8 +68,15 @@
 
   private backoffMs = MINIMUM_BACKOFF_MS;
 
+  private readonly catchUps: sharedCalls.SharedCall<boolean>;
+
   private constructor(private readonly options: TableWatchOptions) {
     this.name = `watch ${options.table}`;
+    this.catchUps = sharedCalls.SharedCall.create({
+      clock: options,
+      call: () => this.readNewChanges(),
+      getIntervalMs: () => chooseCatchUpIntervalMs(options.countGateways()),
+    });
   }
 
   static create(options: TableWatchOptions): TableWatch {
@@ -78,6 +93,14 @@
     return Promise.resolve();
   }
 
+  /**
+   * Passes everything on that the table held when this was called; returns whether that was possible.
+   * The wait that is in flight cannot tell: as long as it is not answered, the store may be cut off.
+   */
+  catchUp(): Promise<boolean> {
+    return this.catchUps.request();
+  }
+
   private async run(): Promise<void> {
     while (!this.isStopped) {
       const isDone =
@@ -107,7 +130,7 @@
   }
 
   private async readChanges(): Promise<boolean> {
-    const { store, table, observer, log, countGateways } = this.options;
+    const { store, table, log, countGateways } = this.options;
     const waitMs = chooseWaitMs(countGateways());
     const outcome = await store.waitForChanges(table, this.revision ?? 0, waitMs);
     if (this.isStopped) return false;
@@ -120,12 +143,30 @@
       return true;
     }
     if (outcome.status !== stores.StoreStatus.Done) return false;
-    this.revision = Math.max(this.revision ?? 0, outcome.revision);
-    if (outcome.changes.length > 0) observer.onChanges(outcome.changes);
+    this.apply(outcome);
+    return true;
+  }
+
+  private async readNewChanges(): Promise<boolean> {
+    const { store, table } = this.options;
+    if (this.revision === undefined || this.isStopped) return false;
+    const outcome = await store.waitForChanges(table, this.revision, 0);
+    // Without its history, or while it is read in full, the table is known only after that read.
+    if (outcome.status !== stores.StoreStatus.Done || this.revision === undefined) return false;
+    this.apply(outcome);
     return true;
   }
+
+  private apply({ changes, revision }: ReadChanges): void {
+    // Two reads of changes may overlap; what the later one told includes the earlier one.
+    if (this.revision !== undefined && revision <= this.revision) return;
+    this.revision = revision;
+    if (changes.length > 0) this.options.observer.onChanges(changes);
+  }
 }
 
+type ReadChanges = Extract<stores.ChangesOutcome, { readonly status: 'done' }>;
+
 /**
  * The length of a wait for changes. It grows with the number of gateways, to keep the total rate of
  * their reads within what the store can serve.
@@ -134,3 +175,8 @@
   const rateLimitedWaitMs = (gateways / MAXIMUM_WAITS_PER_SECOND) * MILLISECONDS_PER_SECOND;
   return Math.min(MAXIMUM_WAIT_MS, Math.max(MINIMUM_WAIT_MS, rateLimitedWaitMs));
 }
+
+/** The shortest time between two reads of the changes up to now. */
+export function chooseCatchUpIntervalMs(gateways: number): number {
+  return Math.max(MINIMUM_CATCH_UP_INTERVAL_MS, gateways * CATCH_UP_INTERVAL_PER_GATEWAY_MS);
+}
--- a/packages/gateway/src/streams/software-history.ts
+++ b/packages/gateway/src/streams/software-history.ts
@@ -2,13 +2,17 @@
  * Which software the replicas of each service have had lately. While it was the same all the time, it
  * is known for every stream at which software it began.
  *
- * This process sees changes itself. For the time before it started, one gateway keeps a row for each
- * service in the store, which tells since when its replicas have the software that they have.
+ * This process sees changes itself, but late when it is cut off or stands still, and a stream may have
+ * begun at software that it has not seen yet. That there was no change is therefore taken from the
+ * store, up to the moment at which somebody asks. For the time before a full read of the replicas,
+ * when the process started or the store dropped its history, one gateway keeps a row for each service
+ * in the store, which tells since when its replicas have the software that they have.
  */
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import type * as directories from '../replicas/directory';
 import * as softwares from '../replicas/software';
+import * as sharedCalls from '../store/shared-call';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
 import * as originRows from './origin-rows';
@@ -18,27 +22,35 @@
   readonly store: stores.Store;
   /** The gateways of which one keeps the row of a service. */
   readonly listWorkers: () => readonly { readonly vm: string }[];
+  /** Learns all replicas that the store lists at the time of the call; returns whether it could. */
+  readonly catchUp: () => Promise<boolean>;
+  /** The shortest time between two reads of a row. */
+  readonly getReadIntervalMs: () => number;
 }
 
 /** What is known of one service. */
 interface ServiceHistory {
   /** The replicas with each software; those that name none have the empty one. */
   readonly replicas: Map<string, string>;
-  /** When the set of software last changed here, on the monotonic clock. */
-  changedMs: number;
+  /** Since when the replicas are known to have this software, on the monotonic clock. */
+  sinceMs: number;
   current: string;
-  /** Whether the row told that the software was the same for long enough before this process. */
-  isConfirmed: boolean;
+  /** When this process saw a change, on the store's clock; undefined when it only saw the outcome. */
+  changedStoreMs: number | undefined;
+  /** Since when the row tells that they have it, on the store's clock; undefined until compared. */
+  storedSinceMs: number | undefined;
   /** Whether the row was read since the last change. */
   isCompared: boolean;
-  /** The comparison with the row that is in flight. */
-  confirming: Promise<boolean> | undefined;
+  /** Reads of the row. */
+  readonly comparison: sharedCalls.SharedCall<boolean>;
 }
 
 /** No stream lasts longer, with all of its resumptions. */
 export const STREAM_LIFETIME_MS = 30_000;
 /** Delay until the row of a service is compared with what is seen; spread over all gateways. */
 const COMPARISON_DELAY_MS = 500;
+/** How long a caller who resumes a stream waits until it is known that there was no change. */
+const CATCH_UP_TIMEOUT_MS = 1500;
 const SEPARATOR = '\n';
 
 /** The software of all services. */
@@ -91,57 +103,94 @@
     this.update(replica.service, history);
   }
 
+  /** Forgets for how long the software was the same: changes before a full read were not seen. */
+  onFullRead(): void {
+    const sinceMs = this.options.environment.nowMs();
+    this.services.forEach((history, service) => {
+      Object.assign(history, {
+        sinceMs,
+        changedStoreMs: undefined,
+        storedSinceMs: undefined,
+        isCompared: false,
+      });
+      this.scheduleComparison(service);
+    });
+  }
+
   /** Compares the rows that another gateway may have kept before. */
   onMembersChanged(): void {
     this.services.forEach((_history, service) => this.scheduleComparison(service));
   }
 
   /**
-   * The software that all replicas of a service have had for the lifetime of a stream; undefined when
-   * there was more than one, or it is not known.
+   * The software that all replicas of a service have had for the lifetime of a stream, up to this
+   * call; undefined when there was more than one, or it is not known.
    */
   async findSole(service: string): Promise<string | undefined> {
+    if (this.getSole(service) === undefined) return undefined;
+    if (!(await this.catchUpInTime(service))) return undefined;
     const history = this.services.get(service);
-    const sole = history?.current;
-    if (!history || !sole || sole.includes(SEPARATOR)) return undefined;
+    const sole = this.getSole(service);
+    if (!history || sole === undefined) return undefined;
     if (this.isUnchanged(history)) return sole;
-    await this.confirmOnce(service, history);
-    return history.current === sole && history.isConfirmed ? sole : undefined;
+    if (history.storedSinceMs !== undefined) return undefined;
+    await history.comparison.request();
+    return this.getSole(service) === sole && this.isUnchanged(history) ? sole : undefined;
   }
 
-  /** Whether streams that begin now may have to be told apart by their software. */
+  /**
+   * Whether streams that begin now may have to be told apart by their software. When a change is seen
+   * late, the streams that began meanwhile are stored then.
+   */
   isMixed(service: string): boolean {
     const history = this.services.get(service);
-    if (!history || history.current.includes(SEPARATOR)) return true;
+    if (!history || this.getSole(service) === undefined) return true;
     if (this.isUnchanged(history)) return false;
-    if (!history.isCompared) this.confirmOnce(service, history);
+    if (!history.isCompared) {
+      history.isCompared = true;
+      history.comparison.request();
+    }
     return true;
   }
 
-  private confirmOnce(service: string, history: ServiceHistory): Promise<boolean> {
-    history.isCompared = true;
-    history.confirming ??= this.confirm(service, history).finally(() => {
-      history.confirming = undefined;
-    });
-    return history.confirming;
+  /** The software of all replicas of a service; undefined when they have several, or name none. */
+  private getSole(service: string): string | undefined {
+    const current = this.services.get(service)?.current;
+    return !current || current.includes(SEPARATOR) ? undefined : current;
+  }
+
+  private async catchUpInTime(service: string): Promise<boolean> {
+    const { environment, catchUp } = this.options;
+    const { log, metrics } = environment;
+    const timeout = environment.pause(CATCH_UP_TIMEOUT_MS).then(() => false);
+    const isDone = await Promise.race([catchUp(), timeout]);
+    metrics.count('software_catch_ups', { isDone: String(isDone) });
+    if (!isDone) log.info('software of a service not confirmed by the store', { service });
+    return isDone;
   }
 
-  private isUnchanged(history: ServiceHistory): boolean {
-    if (history.isConfirmed) return true;
-    return this.options.environment.nowMs() - history.changedMs >= STREAM_LIFETIME_MS;
+  private isUnchanged({ sinceMs, storedSinceMs }: ServiceHistory): boolean {
+    const { environment, store } = this.options;
+    if (environment.nowMs() - sinceMs >= STREAM_LIFETIME_MS) return true;
+    return storedSinceMs !== undefined && store.nowMs - storedSinceMs >= STREAM_LIFETIME_MS;
   }
 
   private getService(service: string): ServiceHistory {
     const known = this.services.get(service);
     if (known) return known;
-    const { nowMs } = this.options.environment;
+    const { environment, getReadIntervalMs } = this.options;
     const history: ServiceHistory = {
       replicas: new Map(),
-      changedMs: nowMs(),
+      sinceMs: environment.nowMs(),
       current: '',
-      isConfirmed: false,
+      changedStoreMs: undefined,
+      storedSinceMs: undefined,
       isCompared: false,
-      confirming: undefined,
+      comparison: sharedCalls.SharedCall.create({
+        clock: environment,
+        call: () => this.compare(service, history),
+        getIntervalMs: getReadIntervalMs,
+      }),
     };
     this.services.set(service, history);
     return history;
@@ -152,8 +201,10 @@
     if (current === history.current) return;
     const former = history.current;
     history.current = current;
-    history.changedMs = this.options.environment.nowMs();
-    history.isConfirmed = false;
+    history.sinceMs = this.options.environment.nowMs();
+    // Before the first replica of a service nothing is known that could have changed.
+    history.changedStoreMs = former === '' ? history.changedStoreMs : this.options.store.nowMs;
+    history.storedSinceMs = undefined;
     history.isCompared = false;
     this.scheduleComparison(service);
     const software = current.split(SEPARATOR).join(', ');
@@ -175,7 +226,7 @@
     const failed: string[] = [];
     for (const service of services) {
       const history = this.services.get(service);
-      if (history && !(await this.confirm(service, history))) failed.push(service);
+      if (history && !(await history.comparison.request())) failed.push(service);
     }
     this.timer = undefined;
     [...failed, ...this.uncompared].forEach((service) => this.scheduleComparison(service));
@@ -188,17 +239,19 @@
   }
 
   /** Reads the row of a service, and writes it if this gateway keeps it; returns whether it could. */
-  private async confirm(service: string, history: ServiceHistory): Promise<boolean> {
+  private async compare(service: string, history: ServiceHistory): Promise<boolean> {
     const { store } = this.options;
-    const { current } = history;
+    const { current, sinceMs } = history;
+    history.isCompared = true;
     const outcome = await store.read(originRows.createSoftwareRange(service));
     if (outcome.status !== stores.StoreStatus.Done) return false;
     const [row] = outcome.rows;
     const stored = row && originRows.decodeSoftware(row);
-    if (history.current !== current) return false;
-    if (stored && [...stored.software].sort().join(SEPARATOR) === current) {
-      const isOldEnough = store.nowMs - stored.sinceMs >= STREAM_LIFETIME_MS;
-      history.isConfirmed = isOldEnough && current !== '' && !current.includes(SEPARATOR);
+    if (history.current !== current || history.sinceMs !== sinceMs) return false;
+    const isSame = stored && [...stored.software].sort().join(SEPARATOR) === current;
+    // The gateway that keeps the row may have missed software that came and left.
+    if (isSame && stored.sinceMs >= (history.changedStoreMs ?? -Infinity)) {
+      this.learnStored(service, history, stored.sinceMs);
       return true;
     }
     if (!this.keepsRow(service)) return true;
@@ -214,4 +267,12 @@
     });
     return written.status === stores.StoreStatus.Done;
   }
+
+  private learnStored(service: string, history: ServiceHistory, storedSinceMs: number): void {
+    const isFirst = history.storedSinceMs === undefined;
+    Object.assign(history, { storedSinceMs });
+    const hasMissedChange = history.changedStoreMs === undefined && !this.isUnchanged(history);
+    // Other gateways cannot take the streams that began here for those of the only version.
+    if (isFirst && hasMissedChange && this.getSole(service) !== undefined) this.onMixed(service);
+  }
 }
--- a/packages/gateway/src/streams/stream-origins.ts
+++ b/packages/gateway/src/streams/stream-origins.ts
@@ -116,8 +116,11 @@
     if (stored) return stored.software;
     // The gateway that began it may be about to store it.
     await this.options.environment.pause(this.storeIntervalMs);
-    await this.readRows();
-    return this.known.get(attemptId)?.software;
+    const [laterSole] = await Promise.all([
+      this.options.history.findSole(service),
+      this.readRows(),
+    ]);
+    return this.known.get(attemptId)?.software ?? laterSole;
   }
 
   private get storeIntervalMs(): number {
