Requests that come late in a planned stop are refused or answered, not cut

What callers saw: a planned stop of one gateway in calm closed connections without an answer. The requests had arrived late in the grace period, on connections that were accepted before, and were passed on; some of them may not be repeated, so their callers could not know what to do.

Cause: nothing in a stopping process knew when it ends. Calls kept the deadlines of their callers, so replicas got time that the process did not have, retries began that could not end, and the end of the wait in Ingress.close closed whatever was left. That end came before the last sixth of the grace period.

Fix: a process that stops has one deadline for answers (decisions.StopDeadline). A request is passed on, or tried again, only if it is expected to end by then: within its own deadline, or within the longest of the recent durations of its route, half as much again for a stream, whose answer cannot be replaced once it has begun. Anything else gets 503 "not run" with Retry-After 0, as other gateways take it at once; so does a request that still waits for a permit or a replica at the last moment. Replicas get what is left until then.

The existing tests of calls get a stop in their fixtures and prepareStop its grace period; nothing that they check has changed.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,8 +31,10 @@
 } from './core/quarantine';
 export { DepartureSource, Departures } from './core/departures';
 export { PermitBudget, type PermitDecision, type PermitRequest } from './core/permit-budget';
+export { RecentDurations } from './core/recent-durations';
 export { RetryBudget } from './core/retry-budget';
 export { isRunTooStale, isFresh, measureStaleness } from './core/staleness';
+export { StopDeadline } from './core/stop-deadline';
 export { AffinityPolicy, estimateLoad, estimateCompletionMs } from './policies/affinity';
 export { LeastRequestsPolicy } from './policies/least-requests';
 export { RandomPolicy } from './policies/random';
--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -118,7 +118,7 @@
     // The append of one result is in flight while the other texts are still growing.
     system.store.faults.slowMs = 150;
     await time.advance(100);
-    first.prepareStop();
+    first.prepareStop(time.GRACE_PERIOD_MS);
     await time.settle(first.releaseJobs());
     system.store.faults.slowMs = 0;
     await time.settle(first.stop());
@@ -243,7 +243,7 @@
     const runner = all.find((candidate) => candidate.jobs.has('first'))!;
     const accepting = all.find((candidate) => candidate !== runner)!;
     // The accepting gateway does not know yet that the other is about to stop.
-    runner.prepareStop();
+    runner.prepareStop(time.GRACE_PERIOD_MS);
     const job = systems.createJob('second', 1, 2);
     await time.settle(accepting.jobs.submit(job));
     await time.settle(runner.releaseJobs());
--- a/packages/gateway/__tests__/plain-calls.test.ts
+++ b/packages/gateway/__tests__/plain-calls.test.ts
@@ -39,6 +39,7 @@
       {
         replicaClient: replicas,
         nowMs: time.nowMs,
+        stop: time.NO_STOP,
         createRefusal: () => decisions.createFailure('no-target'),
         chooseReplica: async (tried) =>
           directory
--- a/packages/gateway/__tests__/request-logs.test.ts
+++ b/packages/gateway/__tests__/request-logs.test.ts
@@ -7,6 +7,7 @@
 import type * as permitIssuers from '../src/limits/permit-issuer';
 import * as requestQuarantines from '../src/quarantine/request-quarantine';
 import * as forwarders from '../src/requests/forwarder';
+import * as plannedStops from '../src/requests/planned-stop';
 import * as fakeReplicas from './support/fake-replicas';
 import * as plainDirectories from './support/plain-directory';
 import * as systems from './support/test-system';
@@ -68,6 +69,7 @@
         listIssuers: () => [],
       }),
       origins: { find: () => Promise.resolve(undefined), record: () => {} },
+      plannedStop: plannedStops.PlannedStop.create(time.nowMs),
     });
     const caller: gateway.CallerRequest = {
       request: {
--- a/packages/gateway/__tests__/row-lifecycle.test.ts
+++ b/packages/gateway/__tests__/row-lifecycle.test.ts
@@ -187,7 +187,7 @@
   createCommand(`${isPlanned ? 'stop' : 'kill'} ${slot}`, async (_model, cluster) => {
     const { runningGateway, connectivity, startCount } = cluster.slots[slot];
     if (isPlanned) {
-      runningGateway.prepareStop();
+      runningGateway.prepareStop(time.GRACE_PERIOD_MS);
       await settle(runningGateway.releaseJobs());
       await settle(runningGateway.stop());
     }
--- a/packages/gateway/__tests__/streams.test.ts
+++ b/packages/gateway/__tests__/streams.test.ts
@@ -28,6 +28,7 @@
       {
         replicaClient: replicas,
         nowMs: time.nowMs,
+        stop: time.NO_STOP,
         createRefusal: () => decisions.createFailure('no-target'),
         chooseReplica: async (tried) =>
           tracked.find((candidate) => !tried.has(candidate.replica.id)),
--- a/packages/gateway/__tests__/support/virtual-time.ts
+++ b/packages/gateway/__tests__/support/virtual-time.ts
@@ -63,3 +63,13 @@
     pause,
   };
 }
+
+/** The grace period of gateways that stop. */
+export const GRACE_PERIOD_MS = 8000;
+
+/** What a gateway that does not stop tells its calls. */
+export const NO_STOP = {
+  lastAnswerAtMs: Infinity,
+  mayPassOn: (): boolean => true,
+  onLastMoment: (): (() => void) => () => {},
+};
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -20,6 +20,7 @@
 import * as directories from '../replicas/directory';
 import * as observedClients from '../replicas/observed-client';
 import * as forwarders from '../requests/forwarder';
+import * as plannedStops from '../requests/planned-stop';
 import * as routedStores from '../store/routed-store';
 import * as softwareHistories from '../streams/software-history';
 import * as streamOrigins from '../streams/stream-origins';
@@ -70,6 +71,8 @@
 
   private readonly store: routedStores.RoutedStore;
 
+  private readonly plannedStop: plannedStops.PlannedStop;
+
   private readonly forwarder: forwarders.Forwarder;
 
   private readonly softwareHistory: softwareHistories.SoftwareHistory;
@@ -88,6 +91,7 @@
     const { environment } = options;
     const { log, metrics, nowMs } = environment;
     this.seeds = options.seeds;
+    this.plannedStop = plannedStops.PlannedStop.create(nowMs);
     this.store = routedStores.RoutedStore.create({
       direct: options.directStore,
       relays: { listRelays: () => this.listRelays() },
@@ -165,6 +169,7 @@
       quarantine: quarantine.requests,
       permits: limits.requester,
       origins,
+      plannedStop: this.plannedStop,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
@@ -257,9 +262,19 @@
     return this.supervisor.start();
   }
 
-  /** Announces the stop: other gateways assign no new work, and waiting readers are answered. */
-  prepareStop(): void {
+  /** When callers get their final answers; infinite while the gateway does not stop. */
+  get lastAnswerAtMs(): number {
+    return this.plannedStop.lastAnswerAtMs;
+  }
+
+  /**
+   * Announces the stop: other gateways assign no new work, waiting readers are answered, and requests
+   * that cannot be answered in time are refused.
+   * @param gracePeriodMs how long the process may take to stop
+   */
+  prepareStop(gracePeriodMs: number): void {
     this.isStopping = true;
+    this.plannedStop.begin(gracePeriodMs);
     this.jobs.prepareStop();
     this.members.announceStop();
   }
@@ -271,6 +286,7 @@
 
   /** Stops all tasks. */
   async stop(): Promise<void> {
+    this.plannedStop.complete();
     await this.supervisor.stop();
     this.store.close();
   }
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -7,6 +7,7 @@
  */
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
+import * as plannedStops from '../requests/planned-stop';
 import * as stores from '../types/store';
 import * as answers from './answer';
 import type * as jobRunners from './job-runner';
@@ -87,7 +88,7 @@
   async submit(job: jobs.BatchJob): Promise<answers.Answer<undefined>> {
     const { environment, store } = this.options;
     if (this.owned.has(job.id)) return { isOk: true, value: undefined };
-    if (this.isStopping) return answers.fail('draining', answers.STORE_RETRY_AFTER_MS);
+    if (this.isStopping) return { isOk: false, failure: plannedStops.createStopRefusal() };
     const startMs = environment.nowMs();
     const chosenGateway = gatewayChoices.chooseGateway(job.model, this.options.listWorkers());
     const { outcome, head } = await store.create(job, chosenGateway);
--- a/packages/gateway/src/requests/call-context.ts
+++ b/packages/gateway/src/requests/call-context.ts
@@ -4,11 +4,13 @@
 import type * as decisions from '@azureworks/decisions';
 import type * as directories from '../replicas/directory';
 import type * as replicas from '../types/replica';
+import type * as plannedStops from './planned-stop';
 
 /** Dependencies of a call. */
 export interface CallContext {
   readonly replicaClient: replicas.RequestSender;
   readonly nowMs: () => number;
+  readonly stop: plannedStops.RequestStop;
   /**
    * Chooses a replica that is not in `tried` and to which the request may be sent now.
    * @param software the only software with which a stream that has begun may go on
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -17,6 +17,7 @@
 import * as softwares from '../replicas/software';
 import type * as streamOrigins from '../streams/stream-origins';
 import * as plainCalls from './plain-call';
+import * as plannedStops from './planned-stop';
 import * as streamCalls from './stream-call';
 
 export interface ForwarderOptions {
@@ -27,6 +28,7 @@
   readonly quarantine: requestQuarantines.RequestQuarantine;
   readonly permits: permitRequesters.PermitRequester;
   readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
+  readonly plannedStop: plannedStops.PlannedStop;
 }
 
 /** A request that the gateway itself makes. */
@@ -88,6 +90,7 @@
     };
     const guard = this.options.quarantine.guard(caller.request);
     const result = await this.callReplicas(caller, route, deadlines, guard);
+    if (result.reply.kind === 'answer') this.recordDuration(caller, route);
     this.recordReply(caller, route, describeReply(result.reply), result.attempts);
     return result.reply;
   }
@@ -102,6 +105,9 @@
     if (refusal) return refusal;
     const { environment, quarantine, origins } = this.options;
     const { request, signal, afterEvent, firstAttemptId } = caller;
+    const deadlineAtMs =
+      caller.receivedMs + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
+    const stop = this.options.plannedStop.createRequestStop(route, deadlineAtMs);
     const service = routeTables.chooseService(route, environment.random());
     const software =
       afterEvent === undefined ? undefined : await origins.find(firstAttemptId, service ?? '');
@@ -117,6 +123,7 @@
       {
         replicaClient: guard,
         nowMs: environment.nowMs,
+        stop,
         chooseReplica: (tried, startedBy) =>
           this.chooseReplica({
             service,
@@ -125,7 +132,7 @@
             guard,
             software: startedBy,
           }),
-        createRefusal: () => this.createRefusal(service),
+        createRefusal: () => this.createRefusal(service, stop),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -138,12 +145,13 @@
         isResumable: route.isResumable,
         maximumAttempts: route.maximumAttempts,
         callerDeadlineAtMs: caller.receivedMs + (caller.deadlineMs ?? route.timeoutMs),
-        deadlineAtMs: caller.receivedMs + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs),
+        deadlineAtMs,
         idleTimeoutMs: STREAM_IDLE_TIMEOUT_MS,
       },
       replyStream,
     );
     const { reply, attempts } = await call.run();
+    if (reply.kind === 'streamed' && reply.isWhole) this.recordDuration(caller, route);
     this.recordReply(caller, route, describeReply(reply), attempts);
     return reply;
   }
@@ -158,6 +166,11 @@
     return { kind: 'failure', failure };
   }
 
+  private recordDuration(caller: exchanges.CallerRequest, route: configurations.Route): void {
+    const { environment, plannedStop } = this.options;
+    plannedStop.recordDuration(route, environment.nowMs() - caller.receivedMs);
+  }
+
   private recordReply(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
@@ -218,10 +231,12 @@
   ): Promise<plainCalls.PlainCallResult> {
     const { environment, replicaClient } = this.options;
     const service = routeTables.chooseService(route, environment.random());
+    const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
     const call = plainCalls.PlainCall.create(
       {
         replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
+        stop,
         chooseReplica: async (tried) => {
           const { priority } = route;
           const needsFreeSlot = guard === undefined;
@@ -235,7 +250,7 @@
           if (chosen) onPlaced?.();
           return chosen;
         },
-        createRefusal: () => this.createRefusal(service),
+        createRefusal: () => this.createRefusal(service, stop),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -285,7 +300,11 @@
   }
 
   /** The failure of a request that did not run because no replica of the service could take it. */
-  private createRefusal(service: string | undefined): decisions.Failure {
+  private createRefusal(
+    service: string | undefined,
+    stop: plannedStops.RequestStop,
+  ): decisions.Failure {
+    if (!stop.mayPassOn()) return plannedStops.createStopRefusal();
     const { directory, permits } = this.options;
     const waitsMs = directory
       .list(service ?? '')
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -5,12 +5,15 @@
  * Another replica is tried when the request certainly did not run, when the answer to an idempotent
  * request was lost or a server error, and when an idempotent request has waited for so long that
  * its replica is probably unresponsive (hedging). The first good answer aborts the other calls.
+ * While the gateway stops, no call begins that cannot end in time, and at the last moment the caller is
+ * told whether the request may have run.
  */
 import * as decisions from '@azureworks/decisions';
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import type * as callContexts from './call-context';
+import * as plannedStops from './planned-stop';
 
 /** Options of a plain call. */
 export interface PlainCallOptions {
@@ -64,6 +67,8 @@
 
   private isChoosing = false;
 
+  private leaveStop: (() => void) | undefined;
+
   private constructor(
     private readonly context: callContexts.CallContext,
     private readonly options: PlainCallOptions,
@@ -80,6 +85,7 @@
       this.options.signal.addEventListener('abort', this.onCallerDisconnected, { once: true });
       const remainingMs = Math.max(0, this.options.deadlineAtMs - this.context.nowMs());
       this.deadlineTimer = setTimeout(() => this.fail('deadline-exceeded'), remainingMs);
+      this.leaveStop = this.context.stop.onLastMoment(() => this.endAtLastMoment());
       this.sendNext();
     });
   }
@@ -93,13 +99,14 @@
   }
 
   private async chooseAndSend(): Promise<void> {
+    const { stop, chooseReplica } = this.context;
     const tracked =
-      this.triedIds.size < this.options.maximumAttempts
-        ? await this.context.chooseReplica(this.triedIds)
+      this.triedIds.size < this.options.maximumAttempts && stop.mayPassOn()
+        ? await chooseReplica(this.triedIds)
         : undefined;
     this.isChoosing = false;
     if (this.isFinished) return;
-    if (tracked) this.send(tracked);
+    if (tracked && stop.mayPassOn()) this.send(tracked);
     else if (this.runningCalls.size === 0) this.giveUp();
   }
 
@@ -114,7 +121,11 @@
     const outcome = await this.context.replicaClient.call(replica, this.options.request, {
       deadlineMs: Math.max(
         1,
-        Math.min(this.options.callerDeadlineAtMs, this.options.deadlineAtMs) - startMs,
+        Math.min(
+          this.options.callerDeadlineAtMs,
+          this.options.deadlineAtMs,
+          this.context.stop.lastAnswerAtMs,
+        ) - startMs,
       ),
       signal: abort.signal,
     });
@@ -161,11 +172,19 @@
     else this.complete({ kind: 'failure', failure: this.context.createRefusal() });
   }
 
+  private endAtLastMoment(): void {
+    if (this.verdict === decisions.VerdictKind.MayHaveRun) this.fail('outcome-unknown');
+    else this.complete({ kind: 'failure', failure: plannedStops.createStopRefusal() });
+  }
+
+  private get verdict(): decisions.VerdictKind {
+    return this.mayHaveRun || this.runningCalls.size > 0
+      ? decisions.VerdictKind.MayHaveRun
+      : decisions.VerdictKind.NotRun;
+  }
+
   private fail(code: decisions.ErrorCode): void {
-    const verdict =
-      this.mayHaveRun || this.runningCalls.size > 0
-        ? decisions.VerdictKind.MayHaveRun
-        : decisions.VerdictKind.NotRun;
+    const { verdict } = this;
     this.complete({ kind: 'failure', failure: decisions.createFailure(code, { verdict }) });
   }
 
@@ -174,6 +193,7 @@
     this.isFinished = true;
     clearTimeout(this.hedgeTimer);
     clearTimeout(this.deadlineTimer);
+    this.leaveStop?.();
     this.options.signal.removeEventListener('abort', this.onCallerDisconnected);
     this.runningCalls.forEach((abort) => abort.abort());
     const { failedAnswers } = this;
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -3,7 +3,7 @@
  * Before the first byte of an answer the request may be sent to another replica if it certainly did
  * not run. Afterwards a stream that breaks off continues on another replica only if the route is
  * resumable, and only on a replica with the same software; the caller keeps the head of the first
- * replica's answer.
+ * replica's answer. While the gateway stops, no run begins that cannot end in time.
  */
 import * as decisions from '@azureworks/decisions';
 import type * as exchanges from '../types/exchange';
@@ -11,6 +11,7 @@
 import type * as directories from '../replicas/directory';
 import * as softwares from '../replicas/software';
 import type * as callContexts from './call-context';
+import * as plannedStops from './planned-stop';
 
 /** Options of a streaming call. */
 export interface StreamCallOptions {
@@ -59,6 +60,10 @@
 
   private isForwarding = false;
 
+  private begunAtMs: number | undefined;
+
+  private isLastMoment = false;
+
   private constructor(
     private readonly context: callContexts.CallContext,
     private readonly options: StreamCallOptions,
@@ -77,10 +82,22 @@
   }
 
   async run(): Promise<StreamCallResult> {
+    const leaveStop = this.context.stop.onLastMoment(() => {
+      this.isLastMoment = true;
+      this.runAbort.abort();
+    });
+    try {
+      return await this.runOnReplicas();
+    } finally {
+      leaveStop();
+    }
+  }
+
+  private async runOnReplicas(): Promise<StreamCallResult> {
     let mayHaveRun = false;
     while (this.triedIds.size < Math.max(1, this.options.maximumAttempts)) {
-      const tracked = this.isExpired() ? undefined : await this.chooseReplica();
-      if (!tracked) break;
+      const tracked = this.mayContinue() ? await this.chooseReplica() : undefined;
+      if (!tracked || !this.mayContinue()) break;
       const outcome = await this.send(tracked);
       if (outcome.status === replicas.CallStatus.Answered) return this.handleAnswer(outcome.answer);
       const isNotRun = replicas.isNotRun(outcome.status);
@@ -126,7 +143,10 @@
     const { request, callerDeadlineAtMs, deadlineAtMs, isResumable, idleTimeoutMs, signal } =
       this.options;
     const startMs = this.context.nowMs();
-    const remainingMs = Math.max(1, Math.min(callerDeadlineAtMs, deadlineAtMs) - startMs);
+    const { lastAnswerAtMs } = this.context.stop;
+    const endMs = Math.min(callerDeadlineAtMs, deadlineAtMs, lastAnswerAtMs);
+    const remainingMs = Math.max(1, endMs - startMs);
+    this.begunAtMs ??= startMs;
     // No other replica can continue a stream that is not resumable, so it may pause until its
     // deadline.
     const eventTimeoutMs = isResumable ? idleTimeoutMs : remainingMs;
@@ -170,10 +190,21 @@
     return this.options.signal.aborted || this.context.nowMs() >= this.options.deadlineAtMs;
   }
 
+  /** Whether the stream may be sent to a replica, or to another one, now. */
+  private mayContinue(): boolean {
+    const elapsedMs =
+      this.hasSentHead && this.begunAtMs !== undefined
+        ? this.context.nowMs() - this.begunAtMs
+        : undefined;
+    return !this.isExpired() && !this.isLastMoment && this.context.stop.mayPassOn(elapsedMs);
+  }
+
   private createFailure(mayHaveRun: boolean): decisions.Failure {
     const verdict = mayHaveRun ? decisions.VerdictKind.MayHaveRun : decisions.VerdictKind.NotRun;
     if (this.isExpired()) return decisions.createFailure('deadline-exceeded', { verdict });
+    if (mayHaveRun && this.isLastMoment) return decisions.createFailure('outcome-unknown');
     if (mayHaveRun) return decisions.createFailure('target-failed');
+    if (this.isLastMoment) return plannedStops.createStopRefusal();
     return this.context.createRefusal();
   }
 
