A planned stop of a daemon no longer closes connections that its callers are using

What callers saw: in a planned stop of a daemon, now and then a request ended with a closed connection.

Cause: a response in flight announces the end of its connection only if its head was not sent yet. A stream that had begun keeps its connection alive, so its caller sends the next request there. The stop closed idle connections at 1.5 s, however short they had been idle, and all connections within 20 ms of the last response: right when such a caller goes on. At the drain timeout, what was still in flight was cut without an answer.

Fix: the grace period for idle connections begins anew with each response that kept its connection alive, so that the request that follows is read and answered with "connection: close". Whatever nothing has answered at the drain timeout gets a failure: 502 "may have run", or 503 "not run" if the request never came whole.

Evidence: four new cases of planned-stop.test.ts failed before: the request 300 ms after a stream that ended 1.4 s or 1.8 s after the stop began got no answer, nor did the two that remain in the end.

--- a/packages/daemon/__tests__/planned-stop.test.ts
+++ b/packages/daemon/__tests__/planned-stop.test.ts
@@ -1,9 +1,14 @@
 import * as net from 'node:net';
+import * as runtime from '@azureworks/runtime';
+import * as body from '../src/core/body';
 import * as httpTask from '../src/core/http-task';
 
 const DRAIN_TIMEOUT_MS = 3000;
 const WAIT_TIMEOUT_MS = 1000;
 const REQUEST = 'GET /slow HTTP/1.1\r\nHost: entry\r\n\r\n';
+const STREAM_REQUEST = 'GET /stream HTTP/1.1\r\nHost: entry\r\n\r\n';
+/** How long a busy caller pauses between two requests on a connection, in milliseconds. */
+const CALLER_PAUSE_MS = 300;
 
 interface Connection {
   readonly socket: net.Socket;
@@ -46,6 +51,14 @@
     task.add('get', '/slow', (_request, response) => {
       pendingResponses.push(() => httpTask.sendJson(response, 200, {}));
     });
+    task.add('post', '/body', async (request) => {
+      await body.readBody(request, 100);
+    });
+    task.add('get', '/stream', (_request, response) => {
+      response.writeHead(200);
+      response.write('part');
+      pendingResponses.push(() => response.end());
+    });
     await task.start();
   });
 
@@ -78,6 +91,44 @@
     await stopped;
   });
 
+  // The head of a streamed response cannot announce any more that its connection will be closed.
+  it.each([1400, 1800])(
+    'does not cut the request that follows a stream that ended %d ms after the stop began',
+    async (endMs) => {
+      const caller = await connect(task.listeningPort);
+      caller.socket.write(STREAM_REQUEST);
+      await waitFor(() => pendingResponses.length === 1);
+      const stopped = task.stop();
+      await runtime.pause(endMs);
+      pendingResponses[0]();
+      await runtime.pause(CALLER_PAUSE_MS);
+      caller.socket.write(REQUEST);
+      await waitFor(() => pendingResponses.length === 2);
+      pendingResponses[1]?.();
+      await caller.closed;
+      expect(caller.received().match(/HTTP\/1\.1 200/g)).toHaveLength(2);
+      await stopped;
+    },
+  );
+
+  it.each([
+    ['502', 'may-have-run', 'one that is not answered', 'GET /slow HTTP/1.1\r\nHost: e\r\n\r\n'],
+    [
+      '503',
+      'not-run',
+      'one of which a part never came',
+      'POST /body HTTP/1.1\r\nHost: e\r\nContent-Length: 4\r\n\r\nbo',
+    ],
+  ])('answers a request with %s and %s in the end: %s', async (status, verdict, _what, text) => {
+    const caller = await connect(task.listeningPort);
+    caller.socket.write(text);
+    await runtime.pause(50);
+    await task.stop();
+    await caller.closed;
+    expect(caller.received()).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+    expect(caller.received()).toContain(`"verdict":"${verdict}"`);
+  });
+
   it('returns without a wait when no connection is open', async () => {
     const startMs = performance.now();
     await task.stop();
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -3,7 +3,9 @@
  *
  * When a server closes an idle connection, a request may already be on its way, and its sender
  * can't know whether it ran. A planned stop therefore keeps idle connections open for a grace
- * period. Requests that still arrive on them are answered with `connection: close`.
+ * period, which begins anew with each response that could not announce the end of its connection, as
+ * its head was sent before. Requests that still arrive are answered with `connection: close`, and
+ * what nothing has answered in the end with a failure.
  */
 import * as http from 'node:http';
 import * as https from 'node:https';
@@ -37,6 +39,8 @@
 const KEY_REFRESH_INTERVAL_MS = 5000;
 /** How long a planned stop keeps idle connections open: well over the pause of a busy caller. */
 const IDLE_CONNECTION_GRACE_MS = 1500;
+/** How long the last answers may take to reach their callers, in milliseconds. */
+const LAST_ANSWERS_TIMEOUT_MS = 100;
 
 /** Reads the keys of a TLS server. */
 export type ReadKeys = () => links.TlsKeys;
@@ -61,6 +65,9 @@
 
   private isClosing = false;
 
+  /** Since when connections that were not told to close may have been idle. */
+  private idleSinceMs = 0;
+
   private boundPort = 0;
 
   private constructor(
@@ -112,7 +119,10 @@
     const options = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: 0 };
     const listener = (request: http.IncomingMessage, response: http.ServerResponse): void => {
       this.responsesInFlight.add(response);
-      response.on('close', () => this.responsesInFlight.delete(response));
+      response.on('close', () => {
+        this.responsesInFlight.delete(response);
+        if (response.shouldKeepAlive) this.idleSinceMs = performance.now();
+      });
       if (this.isClosing) response.shouldKeepAlive = false;
       this.router.handler(request as polka.Request, response);
     };
@@ -138,17 +148,33 @@
     });
     // The close() of http.Server would also close idle connections at once.
     net.Server.prototype.close.call(server);
-    const startMs = performance.now();
+    this.idleSinceMs = performance.now();
     await pollUntil(
-      startMs + IDLE_CONNECTION_GRACE_MS,
-      async () => (await countConnections(server)) === 0,
+      this.idleSinceMs + this.drainTimeoutMs,
+      async () => this.isQuiet() || (await countConnections(server)) === 0,
+    );
+    this.failRemaining();
+    await pollUntil(
+      performance.now() + LAST_ANSWERS_TIMEOUT_MS,
+      async () => this.responsesInFlight.size === 0,
     );
-    server.closeIdleConnections();
-    await pollUntil(startMs + this.drainTimeoutMs, async () => this.responsesInFlight.size === 0);
     server.closeAllConnections();
     this.server = undefined;
     this.isClosing = false;
   }
+
+  private isQuiet(): boolean {
+    const idleMs = performance.now() - this.idleSinceMs;
+    return this.responsesInFlight.size === 0 && idleMs >= IDLE_CONNECTION_GRACE_MS;
+  }
+
+  /** Ends the requests that nothing has answered. */
+  private failRemaining(): void {
+    this.responsesInFlight.forEach((response) => {
+      const code = response.req.complete ? 'outcome-unknown' : 'draining';
+      sendFailure(response, decisions.createFailure(code));
+    });
+  }
 }
 
 async function pollUntil(deadlineMs: number, isDone: () => Promise<boolean>): Promise<void> {
