An entry that stops gives its requests no more time than it has itself

What callers saw: in a planned stop of an entry, requests that a target worked on past the drain timeout ended at that timeout with a closed connection (now: with a failure that the HTTP server sends), and requests that waited for a target or for their admission did so until then. Retries began that could not end. A refusal named no time for the retry.

Cause: as in the gateways, calls knew only the deadlines of their callers.

Fix: the entry has a stop deadline from the shared decision. Calls in flight end at it, with a verdict; no attempt begins that is not expected to end before it, judged by the recent durations of the service; the queue refuses what cannot be answered by then. Targets get what is left.

One fixture gets a stop (software-versions.test.ts).

--- a/packages/daemon/__tests__/software-versions.test.ts
+++ b/packages/daemon/__tests__/software-versions.test.ts
@@ -7,6 +7,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as runtime from '@azureworks/runtime';
 import * as calls from '../src/entry/call';
+import * as plannedStops from '../src/entry/planned-stop';
 import type * as requests from '../src/entry/request';
 import * as directories from '../src/entry/target-directory';
 
@@ -115,6 +116,7 @@
         retryBudget: decisions.RetryBudget.create(1, 10),
         settler: { settle: () => Promise.resolve({ kind: 'unknown' }) } as never,
         entryId: 'entry',
+        stop: plannedStops.PlannedStop.create(clock),
       },
       request,
       isSent ? sink : undefined,
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -5,6 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as neverthrow from 'neverthrow';
 import type * as runtime from '@azureworks/runtime';
+import * as plannedStops from './planned-stop';
 import type * as directories from './target-directory';
 import type * as requests from './request';
 
@@ -31,14 +32,16 @@
     private readonly directory: directories.TargetDirectory,
     private readonly clock: decisions.Clock,
     private readonly metrics: runtime.Metrics,
+    private readonly stopOfEntry: plannedStops.PlannedStop,
   ) {}
 
   static create(
     directory: directories.TargetDirectory,
     clock: decisions.Clock,
     sharedMetrics: runtime.Metrics,
+    stopOfEntry: plannedStops.PlannedStop,
   ): Admission {
-    return new Admission(directory, clock, sharedMetrics);
+    return new Admission(directory, clock, sharedMetrics, stopOfEntry);
   }
 
   start(): void {
@@ -55,12 +58,15 @@
 
   /** Resolves once the request is admitted, or with the failure when it is refused. */
   admit(request: requests.Request): Promise<AdmissionResult> {
+    const { stopOfEntry } = this;
     return new Promise((resolve) => {
       const ticket: WaitingTicket = {
         priority: request.priority,
         organisation: request.organisation,
         share: request.organisationShare,
-        deadlineMs: request.deadlineMs,
+        get deadlineMs() {
+          return stopOfEntry.limit(request.deadlineMs);
+        },
         admit: () => resolve(neverthrow.ok(undefined)),
         refuse: (failure) => resolve(neverthrow.err(failure)),
       };
@@ -120,11 +126,15 @@
     const nowMs = this.clock.nowMs();
     this.queues.forEach((queue, service) => {
       if (queue.size === 0) return;
-      queue
-        .removeExpired(nowMs)
-        .forEach((ticket) => ticket.refuse(decisions.createFailure('overloaded')));
+      queue.removeExpired(nowMs).forEach((ticket) => ticket.refuse(this.createExpiry()));
       const freeCapacity = this.directory.getFreeCapacity(service, undefined);
       queue.admitWaiting(freeCapacity, nowMs).forEach((ticket) => ticket.admit());
     });
   }
+
+  /** The failure of a request that waited until it could not be answered in time any more. */
+  private createExpiry(): decisions.Failure {
+    if (this.stopOfEntry.hasBegun) return plannedStops.createStopRefusal();
+    return decisions.createFailure('overloaded');
+  }
 }
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -11,6 +11,7 @@
 import * as runtime from '@azureworks/runtime';
 import * as attempts from './attempt';
 import type * as directories from './target-directory';
+import * as plannedStops from './planned-stop';
 import type * as requests from './request';
 import type * as settlements from './settlement';
 import * as joiners from './stream-joiner';
@@ -22,6 +23,7 @@
   readonly clock: decisions.Clock;
   readonly retryBudget: decisions.RetryBudget;
   readonly settler: settlements.Settler;
+  readonly stop: plannedStops.PlannedStop;
   /** The name and incarnation of the entry; the prefix of every attempt id. */
   readonly entryId: string;
 }
@@ -121,6 +123,15 @@
   /** Makes attempts until the call succeeds or fails. */
   async run(): Promise<CallResult> {
     this.context.retryBudget.deposit();
+    const leaveStop = this.context.stop.onLastMoment(() => this.abort());
+    try {
+      return await this.runUntilDone();
+    } finally {
+      leaveStop();
+    }
+  }
+
+  private async runUntilDone(): Promise<CallResult> {
     while (true) {
       const result = await this.runOnce();
       if (result) return result;
@@ -134,6 +145,7 @@
     const place = this.createPlace(target.value);
     const permitted = this.permit ? await this.permit(place) : neverthrow.ok(undefined);
     if (permitted.isErr()) return neverthrow.err(this.combine(permitted.error));
+    if (!this.mayAttempt()) return this.endForStop();
     const outcome = await this.makeAttempt(target.value, place);
     if (outcome.kind === 'answered') return neverthrow.ok(outcome.answer);
     return this.handleFailure(outcome.failure, target.value, place);
@@ -148,6 +160,7 @@
       clock.nowMs() + MAXIMUM_NO_TARGET_WAIT_MS,
     );
     while (!this.isAborted) {
+      if (!this.mayAttempt()) return this.endForStop();
       const nowMs = clock.nowMs();
       if (nowMs >= this.request.deadlineMs) return this.refuse('deadline-exceeded');
       this.beginAnewIfStranded();
@@ -157,7 +170,22 @@
       this.excludedTargets.clear();
       await runtime.pause(NO_TARGET_POLL_INTERVAL_MS);
     }
-    return this.refuse('no-target');
+    return this.context.stop.hasBegun ? this.endForStop() : this.refuse('no-target');
+  }
+
+  /** Whether an attempt may begin, with regard to a stop of the entry. */
+  private mayAttempt(): boolean {
+    const { service, deadlineMs } = this.request;
+    return this.context.stop.mayAttempt(service, deadlineMs);
+  }
+
+  /** Ends a call for which no further attempt may begin. */
+  private endForStop(): neverthrow.Err<never, decisions.Failure> {
+    const verdict = decisions.combineVerdicts(this.verdicts);
+    if (verdict === decisions.VerdictKind.NotRun) {
+      return neverthrow.err(plannedStops.createStopRefusal());
+    }
+    return neverthrow.err(decisions.createFailure('outcome-unknown', { verdict }));
   }
 
   /** Discards an answer that no target can go on with, unless a part of it was sent. */
@@ -204,7 +232,7 @@
       id: place.attempt,
       request: this.request,
       target,
-      remainingMs: this.request.deadlineMs - startMs,
+      remainingMs: this.context.stop.limit(this.request.deadlineMs) - startMs,
       joiner: this.joiner,
       onLoad: (load) => this.context.directory.updateLoadFromAnswer(target, load),
       ...(this.resume && { resume: this.resume }),
@@ -269,7 +297,8 @@
   }
 
   private settle(place: settlements.AttemptPlace): Promise<settlements.Settlement> {
-    const remainingMs = this.request.deadlineMs - this.context.clock.nowMs();
+    const deadlineMs = this.context.stop.limit(this.request.deadlineMs);
+    const remainingMs = deadlineMs - this.context.clock.nowMs();
     return this.context.settler.settle(
       place,
       Math.max(0, Math.min(MAXIMUM_SETTLE_WAIT_MS, remainingMs)),
--- a/packages/daemon/src/entry/caller-api.ts
+++ b/packages/daemon/src/entry/caller-api.ts
@@ -12,6 +12,7 @@
 import * as headers from '../types/headers';
 import type * as configurationTask from './configuration-task';
 import type * as dispatchers from './dispatcher';
+import * as plannedStops from './planned-stop';
 import type * as requests from './request';
 
 /** Options of the callers' API. */
@@ -153,7 +154,7 @@
   }
 
   private checkReady(): CheckResult<void> {
-    if (this.options.isDraining()) return neverthrow.err(decisions.createFailure('draining'));
+    if (this.options.isDraining()) return neverthrow.err(plannedStops.createStopRefusal());
     if (this.options.configuration.isConfirmed()) return neverthrow.ok(undefined);
     return neverthrow.err(decisions.createFailure('revision-unconfirmed'));
   }
--- a/packages/daemon/src/entry/components.ts
+++ b/packages/daemon/src/entry/components.ts
@@ -20,6 +20,7 @@
 import * as gossipStates from './gossip-state';
 import * as linksTask from './links-task';
 import * as membershipTask from './membership-task';
+import * as plannedStops from './planned-stop';
 import * as settlements from './settlement';
 
 const MAXIMUM_SAVED_RETRIES = 50;
@@ -108,7 +109,8 @@
     directory,
     log,
   });
-  const admission = admissions.Admission.create(directory, clock, sharedMetrics);
+  const stop = plannedStops.PlannedStop.create(clock);
+  const admission = admissions.Admission.create(directory, clock, sharedMetrics, stop);
   const { limits } = configurationTask.current.configuration;
   const retryBudget = decisions.RetryBudget.create(limits.retry_share, MAXIMUM_SAVED_RETRIES);
   const context = {
@@ -117,13 +119,14 @@
     clock,
     retryBudget,
     settler: settlements.Settler.create(readKeys),
+    stop,
     entryId: `${name}-${incarnation}`,
   };
   const dispatcher = dispatchers.Dispatcher.create(context, admission, platform.tables);
   configurationTask.changes.subscribe(({ configuration: current }) => {
     applyConfiguration(current, directory, retryBudget);
   });
-  return { directory, links: linkTask, admission, dispatcher };
+  return { directory, links: linkTask, admission, dispatcher, stop };
 }
 
 /** Creates the tasks that produce samples and order weights. */
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -76,7 +76,10 @@
     const startMs = this.context.clock.nowMs();
     const result = await call.run();
     const serviceTimeMs = this.context.clock.nowMs() - startMs;
-    if (result.isOk()) this.admission.recordServiceTime(request.service, serviceTimeMs);
+    if (result.isOk()) {
+      this.admission.recordServiceTime(request.service, serviceTimeMs);
+      this.context.stop.recordDuration(request.service, serviceTimeMs);
+    }
     return result;
   }
 
@@ -94,7 +97,10 @@
       recordedAnswer = outcome.answer;
       return neverthrow.err(decisions.createFailure('request-in-progress'));
     };
+    const startMs = this.context.clock.nowMs();
     const result = await calls.Call.create(this.context, request, undefined, permit).run();
+    const { clock, stop } = this.context;
+    if (result.isOk()) stop.recordDuration(request.service, clock.nowMs() - startMs);
     if (recordedAnswer) return neverthrow.ok(recordedAnswer);
     await closeClaim(claim, result);
     return result;
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -67,9 +67,11 @@
   /** Announces that the entry leaves, refuses new work, finishes requests in flight and stops. */
   async stop(): Promise<void> {
     this.isDraining = true;
+    this.serving.stop.begin(this.options.settings.daemon.drain_timeout_ms);
     await this.members.membership.leave();
     await runtime.pause(LOAD_BALANCER_DELAY_MS);
     await this.shared.http.stop();
+    this.serving.stop.complete();
     this.serving.admission.stop();
     await this.supervisor.stop();
     await this.shared.platform.close();
--- a/packages/decisions/__tests__/stop-deadline.test.ts
+++ b/packages/decisions/__tests__/stop-deadline.test.ts
@@ -25,10 +25,12 @@
 describe('recent durations', () => {
   it('tell the longest, and forget it after others have come', () => {
     const durations = decisions.RecentDurations.create();
-    expect(durations.longestMs).toBeUndefined();
-    [300, 100, 200].forEach((durationMs) => durations.record(durationMs));
-    expect(durations.longestMs).toBe(300);
-    Array.from({ length: 32 }).forEach(() => durations.record(50));
-    expect(durations.longestMs).toBe(50);
+    expect(durations.getLongestMs('a')).toBeUndefined();
+    [300, 100, 200].forEach((durationMs) => durations.record('a', durationMs));
+    durations.record('b', 400);
+    expect(durations.getLongestMs('a')).toBe(300);
+    Array.from({ length: 32 }).forEach(() => durations.record('a', 50));
+    expect(durations.getLongestMs('a')).toBe(50);
+    expect(durations.getLongestMs('b')).toBe(400);
   });
 });
--- a/packages/decisions/src/core/recent-durations.ts
+++ b/packages/decisions/src/core/recent-durations.ts
@@ -1,26 +1,27 @@
 /**
- * How long requests of one kind took recently. The longest of them tells how long another one may
+ * How long requests took recently, by their kind. The longest of them tells how long another one may
  * usually take; older ones are forgotten, so that a disruption does not count for good.
  */
 
-/** How many durations are remembered. */
+/** How many durations of a kind are remembered. */
 const MAXIMUM_DURATIONS = 32;
 
-/** The latest durations. */
+/** The latest durations of each kind of requests. */
 export class RecentDurations {
-  private readonly durationsMs: number[] = [];
+  private readonly durationsMs = new Map<string, number[]>();
 
   static create(): RecentDurations {
     return new RecentDurations();
   }
 
-  record(durationMs: number): void {
-    this.durationsMs.push(durationMs);
-    if (this.durationsMs.length > MAXIMUM_DURATIONS) this.durationsMs.shift();
+  record(kind: string, durationMs: number): void {
+    const latest = [...(this.durationsMs.get(kind) ?? []), durationMs];
+    this.durationsMs.set(kind, latest.slice(-MAXIMUM_DURATIONS));
   }
 
-  /** Undefined before the first one. */
-  get longestMs(): number | undefined {
-    return this.durationsMs.length === 0 ? undefined : Math.max(...this.durationsMs);
+  /** Undefined before the first one of the kind. */
+  getLongestMs(kind: string): number | undefined {
+    const latest = this.durationsMs.get(kind);
+    return latest && Math.max(...latest);
   }
 }
--- a/packages/gateway/src/requests/planned-stop.ts
+++ b/packages/gateway/src/requests/planned-stop.ts
@@ -26,7 +26,7 @@
 
 /** The stop of one gateway. */
 export class PlannedStop {
-  private readonly durations = new Map<string, decisions.RecentDurations>();
+  private readonly durations = decisions.RecentDurations.create();
 
   private readonly endings = new Set<() => void>();
 
@@ -61,9 +61,7 @@
 
   /** Records how long a request of a route took that was answered by a replica. */
   recordDuration(route: configurations.Route, durationMs: number): void {
-    const durations = this.durations.get(route.name) ?? decisions.RecentDurations.create();
-    this.durations.set(route.name, durations);
-    durations.record(durationMs);
+    this.durations.record(route.name, durationMs);
   }
 
   /** @param deadlineAtMs when the request ends in any case */
@@ -88,7 +86,7 @@
   ): boolean {
     const nowMs = this.nowMs();
     const limitMs = Math.max(0, deadlineAtMs - nowMs);
-    const usualMs = this.durations.get(route.name)?.longestMs ?? limitMs;
+    const usualMs = this.durations.getLongestMs(route.name) ?? limitMs;
     return this.deadline.allows(
       nowMs,
       Math.min(limitMs, computeExpectedMs(route, usualMs, elapsedMs)),
