A row names a replica only if requests can be sent to it

Other operators saw that one odd row among those of the replicas, with a port out of range or a number too large, ended the machines that read it or lost requests. Here the decoder took such rows for replicas: 127.0.0.1:99999, 999.1.1.1:80, port 0 and ....:80, nine quadrillion slots, a negative start, a version of weights that no trainer names (the largest version counts as the newest), an id that no header can carry. A gateway then chose them, as they never seemed busy.

A replica whose row becomes odd gets no new requests until it can be read again: the row "names no replica to use", and nothing is known any more of its state, address or service.

--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -5,11 +5,15 @@
  * continue. That it is leaving is learned from its answers as well as from its row, whichever comes
  * first. Right after an outage of the store, rows may be missing only until their replicas
  * renew them. A replica is then removed only if its row is still missing after a grace period.
+ *
+ * A row that cannot be decoded names no replica to use. If it replaced the row of a replica, that one
+ * gets no new requests either, as nothing is known any more of its state, address or service.
  */
 import * as decisions from '@azureworks/decisions';
 import type * as environments from '../types/environment';
 import type * as replicas from '../types/replica';
-import * as stores from '../types/store';
+import * as oddRows from '../store/odd-rows';
+import type * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
 import * as incarnations from './incarnation';
 import * as replicaHealths from './replica-health';
@@ -71,8 +75,11 @@
 
   private readonly departures: decisions.Departures;
 
+  private readonly oddRows: oddRows.OddRows;
+
   private constructor(private readonly options: ReplicaDirectoryOptions) {
     this.departures = decisions.Departures.create({ nowMs: options.environment.nowMs });
+    this.oddRows = oddRows.OddRows.create(options.environment);
   }
 
   static create(options: ReplicaDirectoryOptions): ReplicaDirectory {
@@ -162,8 +169,11 @@
 
   private applyRow(row: stores.Row): void {
     const replica = this.options.decode(row);
-    // An unreadable row does not change what is known about the replica under its key.
-    if (!replica) return;
+    if (!replica) {
+      this.oddRows.report(row, 'names no replica');
+      this.remove(row.key, 'row cannot be used');
+      return;
+    }
     clearTimeout(this.removalTimers.get(replica.id));
     this.removalTimers.delete(replica.id);
     const former = this.tracked.get(replica.id);
@@ -213,6 +223,7 @@
   private remove(id: string, reason: string): void {
     const tracked = this.tracked.get(id);
     this.tracked.delete(id);
+    clearTimeout(this.removalTimers.get(id));
     this.removalTimers.delete(id);
     if (!tracked) return;
     this.options.environment.log.info('replica left', { replica: id, reason });
