A call to a replica always ends with a verdict

An item whose run began there never ended (LOST), and an order of weights to it stayed in progress.

Cause: the pool of connections threw `Invalid URL` when it opened a connection, so `call`, `stream`, `order` and `fetchReport` rejected where their callers expect a verdict; a probe threw ERR_SOCKET_BAD_PORT. Nothing after such a call ran: no count came down, no item went back to waiting.

All calls of a gateway pass one place, the observed client; an unexpected error of any client becomes "may have run" there, logged once with its stack (`unexpected error`, metric `unexpected_errors`). What counts requests in flight counts down in any case.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -30,6 +30,7 @@
 import type * as exchanges from '../types/exchange';
 import type * as replicas from '../types/replica';
 import * as weightsTasks from '../weights/weights-task';
+import * as errorGuards from './error-guard';
 
 /** Options of a gateway, among them everything that knows the platform's formats and calls. */
 export interface GatewayOptions {
@@ -134,6 +135,7 @@
         },
       },
       nowMs,
+      errorGuards.ErrorGuard.create(environment, 'replica calls'),
     );
     const quarantine = sharedQuarantines.createSharedQuarantine({
       ...options,
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -97,9 +97,12 @@
       firstEventTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
       idleTimeoutMs: SILENCE_TIMEOUT_MS,
     };
-    const outcome = await caller.stream(tracked.replica, request, streamOptions, this);
-    tracked.inFlight -= 1;
-    itemProgress.abortController = undefined;
+    const outcome = await caller
+      .stream(tracked.replica, request, streamOptions, this)
+      .finally(() => {
+        tracked.inFlight -= 1;
+        itemProgress.abortController = undefined;
+      });
     const end = this.classifyOutcome(outcome);
     this.recordEnd(outcome, end);
     return end;
--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -100,12 +100,15 @@
     const leave = isSuspect ? this.quarantine.enterSuspect(replica) : () => {};
     const startMs = this.nowMs();
     this.running += 1;
-    const outcome = await act();
-    if (!this.isRepeatedLoss(outcome, startMs)) {
-      await this.quarantine.examine(this.request, replica, outcome);
+    try {
+      const outcome = await act();
+      if (!this.isRepeatedLoss(outcome, startMs)) {
+        await this.quarantine.examine(this.request, replica, outcome);
+      }
+      return outcome;
+    } finally {
+      this.running -= 1;
+      leave();
     }
-    this.running -= 1;
-    leave();
-    return outcome;
   }
 }
--- a/packages/gateway/src/replicas/observed-client.ts
+++ b/packages/gateway/src/replicas/observed-client.ts
@@ -1,8 +1,10 @@
 /**
  * Reports what replicas tell about themselves in their answers. Everything that the gateway sends to a
- * replica passes through here, whichever part of the gateway sends it.
+ * replica passes through here, whichever part of the gateway sends it. An unexpected error becomes the
+ * verdict that the request may have run, as its sender counts on a verdict.
  */
-import type * as replicas from '../types/replica';
+import type * as errorGuards from '../core/error-guard';
+import * as replicas from '../types/replica';
 
 /** An answer's signals, and when the request for it was sent. */
 export interface SignalObserver {
@@ -10,20 +12,27 @@
   onSignals(replica: replicas.Replica, signals: replicas.ReplicaSignals, sentMs: number): void;
 }
 
-/** A replica client whose answers are observed. */
+const UNEXPECTED_ERROR: replicas.CallOutcome = {
+  status: replicas.CallStatus.Broken,
+  reason: 'unexpected error',
+};
+
+/** A replica client whose answers are observed, and whose calls never reject. */
 export class ObservedReplicaClient implements replicas.ReplicaClient {
   private constructor(
     private readonly client: replicas.ReplicaClient,
     private readonly observer: SignalObserver,
     private readonly nowMs: () => number,
+    private readonly errors: errorGuards.ErrorGuard,
   ) {}
 
   static create(
     client: replicas.ReplicaClient,
     observer: SignalObserver,
     nowMs: () => number,
+    errors: errorGuards.ErrorGuard,
   ): ObservedReplicaClient {
-    return new ObservedReplicaClient(client, observer, nowMs);
+    return new ObservedReplicaClient(client, observer, nowMs, errors);
   }
 
   call(
@@ -31,7 +40,10 @@
     request: replicas.ReplicaRequest,
     options: replicas.CallOptions,
   ): Promise<replicas.CallOutcome> {
-    return this.client.call(replica, request, this.observe(replica, options));
+    return this.errors.settle(
+      () => this.client.call(replica, request, this.observe(replica, options)),
+      UNEXPECTED_ERROR,
+    );
   }
 
   stream(
@@ -40,7 +52,10 @@
     options: replicas.StreamOptions,
     receiver: replicas.StreamReceiver,
   ): Promise<replicas.StreamOutcome> {
-    return this.client.stream(replica, request, this.observe(replica, options), receiver);
+    return this.errors.settle(
+      () => this.client.stream(replica, request, this.observe(replica, options), receiver),
+      UNEXPECTED_ERROR,
+    );
   }
 
   order(
@@ -48,22 +63,28 @@
     order: replicas.WeightsOrder,
     deadlineMs: number,
   ): Promise<replicas.OrderStatus> {
-    return this.client.order(replica, order, deadlineMs, this.createListener(replica));
+    return this.errors.settle(
+      () => this.client.order(replica, order, deadlineMs, this.createListener(replica)),
+      replicas.OrderStatus.Unknown,
+    );
   }
 
   fetchReport(
     replica: replicas.Replica,
     deadlineMs: number,
   ): Promise<replicas.ReplicaReport | undefined> {
-    return this.client.fetchReport(replica, deadlineMs, this.createListener(replica));
+    return this.errors.settle(
+      () => this.client.fetchReport(replica, deadlineMs, this.createListener(replica)),
+      undefined,
+    );
   }
 
   probe(...probe: Parameters<replicas.ReplicaClient['probe']>): Promise<replicas.ListeningState> {
-    return this.client.probe(...probe);
+    return this.errors.settle(() => this.client.probe(...probe), replicas.ListeningState.Unknown);
   }
 
   closeConnections(replica: replicas.Replica): void {
-    this.client.closeConnections(replica);
+    this.errors.run(() => this.client.closeConnections(replica));
   }
 
   close(): Promise<void> {
@@ -79,6 +100,8 @@
 
   private createListener(replica: replicas.Replica): (signals: replicas.ReplicaSignals) => void {
     const sentMs = this.nowMs();
-    return (signals) => this.observer.onSignals(replica, signals, sentMs);
+    return (signals) => {
+      this.errors.run(() => this.observer.onSignals(replica, signals, sentMs));
+    };
   }
 }
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -111,15 +111,18 @@
     this.runningCalls.set(replica.id, abort);
     this.startHedgeTimer();
     tracked.inFlight += 1;
-    const outcome = await this.context.replicaClient.call(replica, this.options.request, {
-      deadlineMs: Math.max(
-        1,
-        Math.min(this.options.callerDeadlineAtMs, this.options.deadlineAtMs) - startMs,
-      ),
-      signal: abort.signal,
-    });
-    tracked.inFlight -= 1;
-    this.runningCalls.delete(replica.id);
+    const outcome = await this.context.replicaClient
+      .call(replica, this.options.request, {
+        deadlineMs: Math.max(
+          1,
+          Math.min(this.options.callerDeadlineAtMs, this.options.deadlineAtMs) - startMs,
+        ),
+        signal: abort.signal,
+      })
+      .finally(() => {
+        tracked.inFlight -= 1;
+        this.runningCalls.delete(replica.id);
+      });
     this.context.recordOutcome(tracked, outcome, this.context.nowMs() - startMs);
     if (!this.isFinished) this.handleOutcome(outcome);
   }
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -135,20 +135,23 @@
     this.runAbort = new AbortController();
     this.sequenceFault = undefined;
     tracked.inFlight += 1;
-    const received = await this.context.replicaClient.stream(
-      tracked.replica,
-      request,
-      {
-        deadlineMs: remainingMs,
-        signal: AbortSignal.any([signal, this.runAbort.signal]),
-        afterEvent: this.lastEvent,
-        priority: replicas.DEFAULT_STREAM_PRIORITY,
-        firstEventTimeoutMs: eventTimeoutMs,
-        idleTimeoutMs: eventTimeoutMs,
-      },
-      this,
-    );
-    tracked.inFlight -= 1;
+    const received = await this.context.replicaClient
+      .stream(
+        tracked.replica,
+        request,
+        {
+          deadlineMs: remainingMs,
+          signal: AbortSignal.any([signal, this.runAbort.signal]),
+          afterEvent: this.lastEvent,
+          priority: replicas.DEFAULT_STREAM_PRIORITY,
+          firstEventTimeoutMs: eventTimeoutMs,
+          idleTimeoutMs: eventTimeoutMs,
+        },
+        this,
+      )
+      .finally(() => {
+        tracked.inFlight -= 1;
+      });
     const outcome = this.checkSequence(received);
     this.context.recordOutcome(tracked, outcome, this.context.nowMs() - startMs);
     return outcome;
