An unexpected error ends none of the loops that run for the life of the process

Here an observer that threw ended the watch of its table for good: no later configuration, replica or notice reached the gateway, and its process went on. The same held for each other loop. A search for orphaned jobs left its flag set, so no later one began; membership was no longer renewed, the lease of orders no longer claimed, results no longer appended, items no longer placed, an item's run or scoring never ended, a permit query never answered its waiters.

Cause: each loop awaits its step and plans the next one afterwards, with nothing that catches an error between.

A small guard (`core/error-guard`) now runs the steps: an error is logged once with its stack and counted, and the loop goes on after its usual backoff. A watch whose observer failed on changes reads the table in full, so that what was missed is learned; after a failure on the full read it goes on with the changes, as the same rows would be met again. Several observers of a table, several rows of a batch and several jobs of a search each have their turn whatever happens to another. Flags and counts are reset in any case.

--- a/packages/gateway/src/configuration/active-configuration.ts
+++ b/packages/gateway/src/configuration/active-configuration.ts
@@ -2,6 +2,7 @@
  * Holds the active configuration and the desired versions of weights, which trainers write. Within
  * a process neither ever returns to an older version.
  */
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as configurations from '../types/configuration';
 import * as stores from '../types/store';
@@ -34,10 +35,14 @@
 
   private readonly observers: ConfigurationObserver[] = [];
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(
     private readonly environment: environments.Environment,
     private readonly decode: DecodeOperatorRow,
-  ) {}
+  ) {
+    this.errors = errorGuards.ErrorGuard.create(environment, 'configuration');
+  }
 
   static create(
     environment: environments.Environment,
@@ -66,11 +71,12 @@
   }
 
   onSnapshot(rows: readonly stores.Row[]): void {
-    rows.forEach((row) => this.applyRow(row));
+    this.errors.forEach(rows, (row) => this.applyRow(row));
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
-    changes.filter((change) => !change.isRemoved).forEach((change) => this.applyRow(change));
+    const present = changes.filter((change) => !change.isRemoved);
+    this.errors.forEach(present, (change) => this.applyRow(change));
   }
 
   private applyRow(row: stores.Row): void {
@@ -84,6 +90,7 @@
 
   private applyConfiguration(configuration: configurations.Configuration, row: stores.Row): void {
     if (this.configuration && configuration.version <= this.configuration.version) return;
+    const routes = routeTables.RouteTable.create(configuration.routes);
     this.environment.log.info('configuration in force', {
       version: configuration.version,
       former: this.configuration?.version,
@@ -91,14 +98,18 @@
       routes: configuration.routes.length,
     });
     this.configuration = configuration;
-    this.routes = routeTables.RouteTable.create(configuration.routes);
-    this.observers.forEach((observer) => observer.onConfigurationChanged(configuration));
+    this.routes = routes;
+    this.errors.forEach(this.observers, (observer) =>
+      observer.onConfigurationChanged(configuration),
+    );
   }
 
   private applyDesiredVersion(model: string, version: number, row: stores.Row): void {
     if (version <= (this.desiredVersions.get(model) ?? 0)) return;
     this.desiredVersions.set(model, version);
     this.environment.log.info('weights named', { model, version, revision: row.revision });
-    this.observers.forEach((observer) => observer.onDesiredVersionChanged(model, version));
+    this.errors.forEach(this.observers, (observer) =>
+      observer.onDesiredVersionChanged(model, version),
+    );
   }
 }
--- a/packages/gateway/src/core/error-guard.ts
+++ b/packages/gateway/src/core/error-guard.ts
@@ -58,6 +58,10 @@
 
   /** Logs an error unless the same one was logged before, and counts it. */
   report(error: unknown): void {
+    if (error instanceof AggregateError) {
+      error.errors.forEach((single) => this.report(single));
+      return;
+    }
     const { task, outputs } = this;
     outputs.metrics?.count('unexpected_errors', { task });
     const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -107,13 +107,14 @@
       isStoreStable: () => this.store.isStable,
     });
     const { configuration } = this;
+    const memberErrors = errorGuards.ErrorGuard.create(environment, 'changes of the members');
     this.members = membershipTasks.MembershipTask.create({
       environment,
       store: this.store,
       failureDomains: options.failureDomains,
       onChange: () => {
-        this.permitIssuer.onMembersChanged();
-        this.softwareHistory.onMembersChanged();
+        memberErrors.run(() => this.permitIssuer.onMembersChanged());
+        memberErrors.run(() => this.softwareHistory.onMembersChanged());
         this.takeover.search();
       },
       onTermBegan: () => this.takeover.search(),
@@ -224,6 +225,7 @@
         ...(partitions && { partitions }),
         observer,
         log,
+        metrics,
         pause: environment.pause,
         countGateways: () => this.members.listPeers().length + 1,
       });
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -6,6 +6,7 @@
 import type * as activeConfigurations from '../configuration/active-configuration';
 import * as routeTables from '../configuration/route-table';
 import type * as permitRequesters from '../limits/permit-requester';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as configurations from '../types/configuration';
 import * as jobs from '../types/batch-job';
@@ -35,6 +36,8 @@
 /** How long a replica that refused an item gets no items of its model, which it may be loading. */
 const LOADING_BACKOFF_MS = 150;
 const SLOW_CHECK_INTERVAL_MS = 200;
+/** Delay before an item is scored again after an unexpected error. */
+const SCORING_BACKOFF_MS = 1000;
 /** Moves items off replicas whose time per event exceeds this multiple of the others' median. */
 const SLOW_REPLICA_FACTOR = 2;
 /** Assumed time per event while no replica has been measured. */
@@ -55,8 +58,11 @@
 
   private readonly scoringQueue: scoringQueues.ScoringQueue;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: JobRunnerOptions) {
     this.scoringQueue = scoringQueues.ScoringQueue.create(options.environment);
+    this.errors = errorGuards.ErrorGuard.create(options.environment, 'items');
   }
 
   static create(options: JobRunnerOptions): JobRunner {
@@ -66,7 +72,10 @@
   /** Starts running a job. */
   add(job: ownedJobs.OwnedJob): void {
     this.jobs.set(job.id, job);
-    this.slowCheckTimer ??= setInterval(() => this.checkSlowReplicas(), SLOW_CHECK_INTERVAL_MS);
+    this.slowCheckTimer ??= setInterval(
+      () => this.errors.run(() => this.checkSlowReplicas()),
+      SLOW_CHECK_INTERVAL_MS,
+    );
     job.listItems(progress.ItemPhase.Waiting).forEach((itemProgress) => {
       if (itemProgress.isTextComplete) this.scoreItem(job, itemProgress);
     });
@@ -93,15 +102,18 @@
     this.isDispatchScheduled = true;
     setImmediate(() => {
       this.isDispatchScheduled = false;
-      this.dispatchWaitingItems();
+      this.errors.run(() => this.dispatchWaitingItems());
     });
   }
 
   private dispatchWaitingItems(): void {
     const nowMs = this.options.environment.nowMs();
     const storeNowMs = this.options.storeNowMs();
-    const waitingJobs = [...this.jobs.values()].flatMap((job) => this.describeJob(job) ?? []);
-    itemOrder.orderItems(waitingJobs, nowMs).forEach((ordered) => {
+    const waitingJobs: itemOrder.WaitingJob[] = [];
+    this.errors.forEach(this.jobs.values(), (job) => {
+      waitingJobs.push(...[this.describeJob(job) ?? []].flat());
+    });
+    this.errors.forEach(itemOrder.orderItems(waitingJobs, nowMs), (ordered) => {
       const job = this.jobs.get(ordered.jobId);
       const itemProgress = job?.items.get(ordered.itemId);
       if (!job?.isOpen || itemProgress?.phase !== progress.ItemPhase.Waiting) return;
@@ -175,7 +187,7 @@
       return;
     }
     const tracked = this.chooseReplica(job, itemProgress, route, nowMs);
-    if (tracked) this.runItem(job, itemProgress, route, tracked);
+    if (tracked) this.startRun(job, itemProgress, route, tracked);
   }
 
   private chooseReplica(
@@ -241,6 +253,23 @@
     return service === undefined ? [] : directory.list(service);
   }
 
+  /** Runs an item; after an unexpected error it waits for another run. */
+  private async startRun(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    route: configurations.Route,
+    tracked: directories.TrackedReplica,
+  ): Promise<void> {
+    const run = async (): Promise<true> => {
+      await this.runItem(job, itemProgress, route, tracked);
+      return true;
+    };
+    if (await this.errors.settle(run, false)) return;
+    if (itemProgress.phase === progress.ItemPhase.Running)
+      itemProgress.phase = progress.ItemPhase.Waiting;
+    setTimeout(() => this.scheduleDispatch(), LOADING_BACKOFF_MS);
+  }
+
   private async runItem(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
@@ -321,8 +350,15 @@
     itemProgress.isTextComplete = true;
     const { environment, forwarder } = this.options;
     const scoringOptions = { environment, forwarder, queue: this.scoringQueue };
-    const end = await scoring.scoreItem(scoringOptions, job, itemProgress);
+    const end = await this.errors.settle(
+      () => scoring.scoreItem(scoringOptions, job, itemProgress),
+      undefined,
+    );
     if (!job.isOpen) return;
+    if (!end) {
+      setTimeout(() => this.scoreItem(job, itemProgress), SCORING_BACKOFF_MS);
+      return;
+    }
     if (end.kind === 'scored')
       job.finishItem(itemProgress, jobs.ResultState.Completed, { cause: 'scored' });
     if (end.kind !== 'failed') return;
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -125,11 +125,13 @@
     // append to its list without knowing of each other's results.
     if (this.takingOver.has(id) || this.owned.has(id)) return false;
     this.takingOver.add(id);
-    const isTakenOver = this.isStopping
-      ? await this.releaseIfOwned(id, state)
-      : await this.claimAndLoad(id, state);
-    this.takingOver.delete(id);
-    return isTakenOver;
+    try {
+      return this.isStopping
+        ? await this.releaseIfOwned(id, state)
+        : await this.claimAndLoad(id, state);
+    } finally {
+      this.takingOver.delete(id);
+    }
   }
 
   /** Ends a job; ending it again has no effect. */
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -5,6 +5,7 @@
  * Results are appended to the list by one conditional write at a time, which carries all results
  * that became ready during the previous write. Readers only get results whose write is confirmed.
  */
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import * as jobs from '../types/batch-job';
 import * as stores from '../types/store';
@@ -81,11 +82,14 @@
 
   private readonly waitingReaders = new Set<() => void>();
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(
     private readonly options: OwnedJobOptions,
     content: OwnedJobContent,
   ) {
     this.id = content.id;
+    this.errors = errorGuards.ErrorGuard.create(options.environment, 'batch job');
     this.state = content.state;
     this.results = [...content.results];
     const listed = new Set(content.results.map((result) => result.itemId));
@@ -229,7 +233,10 @@
 
   /** Saves the incomplete texts periodically until the job is closed. */
   startCheckpoints(): void {
-    this.checkpointTimer = setInterval(() => this.checkpoint(), CHECKPOINT_INTERVAL_MS);
+    this.checkpointTimer = setInterval(
+      () => this.errors.settle(() => this.checkpoint(), undefined),
+      CHECKPOINT_INTERVAL_MS,
+    );
   }
 
   /** Stops running the job here. */
@@ -274,26 +281,33 @@
   private async appendPendingResults(): Promise<void> {
     this.isAppending = true;
     while (this.isOpen && this.pendingResults.length > 0) {
-      const outcome = await this.options.store.appendResults(
-        this.id,
-        this.state,
-        this.pendingResults,
-      );
-      if (outcome.status === stores.StoreStatus.Done) this.onResultsAppended(outcome.state);
-      else if (outcome.status === stores.StoreStatus.Conflict) await this.resolveConflict();
-      else {
-        this.options.environment.log.warn('listing failed, trying again', {
-          job: this.id,
-          outcome: outcome.status,
-          ready: this.pendingResults.length,
-          revision: this.state.revision,
-        });
-        await this.options.environment.pause(APPEND_BACKOFF_MS);
-      }
+      const isDone = await this.errors.settle(() => this.appendOnce(), false);
+      if (!isDone) await this.options.environment.pause(APPEND_BACKOFF_MS);
     }
     this.isAppending = false;
   }
 
+  /** Returns false to try it again after a pause. */
+  private async appendOnce(): Promise<boolean> {
+    const outcome = await this.options.store.appendResults(
+      this.id,
+      this.state,
+      this.pendingResults,
+    );
+    if (outcome.status === stores.StoreStatus.Done) {
+      this.onResultsAppended(outcome.state);
+      return true;
+    }
+    if (outcome.status === stores.StoreStatus.Conflict) return this.resolveConflict();
+    this.options.environment.log.warn('listing failed, trying again', {
+      job: this.id,
+      outcome: outcome.status,
+      ready: this.pendingResults.length,
+      revision: this.state.revision,
+    });
+    return false;
+  }
+
   private onResultsAppended(state: jobStores.HeadState): void {
     const count = state.head.listed - this.results.length;
     const listed = this.pendingResults.splice(0, count);
@@ -313,10 +327,11 @@
   }
 
   /** After a conflict, another writer has changed the job: its head tells how to continue. */
-  private async resolveConflict(): Promise<void> {
+  private async resolveConflict(): Promise<boolean> {
     const state = await this.options.store.readHead(this.id);
-    if (state === jobStores.UNREADABLE) await this.options.environment.pause(APPEND_BACKOFF_MS);
-    else this.adopt(state);
+    if (state === jobStores.UNREADABLE) return false;
+    this.adopt(state);
+    return true;
   }
 
   /**
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -8,6 +8,7 @@
  * alive may both try; the conditional write of the job's head row lets only one of them succeed.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
@@ -46,7 +47,11 @@
 
   private isSearchRequested = false;
 
-  private constructor(private readonly options: TakeoverOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: TakeoverOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: TakeoverOptions): TakeoverTask {
     return new TakeoverTask(options);
@@ -74,7 +79,7 @@
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
-    changes.forEach((change) => {
+    this.errors.forEach(changes, (change) => {
       if (change.key === records.Notice.Ended) this.options.service.onJobEnded(change.partition);
       const vm = change.value.toString();
       const isThisVm = vm === this.options.environment.vm;
@@ -96,7 +101,7 @@
   private async runSearch(): Promise<void> {
     this.isSearching = true;
     this.isSearchRequested = false;
-    const isComplete = await this.takeOverOrphans();
+    const isComplete = await this.errors.settle(() => this.takeOverOrphans(), false);
     this.isSearching = false;
     if (this.isSearchRequested) this.scheduleSearch(0);
     else this.scheduleSearch(isComplete ? SEARCH_INTERVAL_MS : SEARCH_BACKOFF_MS);
@@ -112,7 +117,11 @@
   }
 
   /** Compares a job that runs here with the store; returns false to try it again soon. */
-  private async compare(job: ownedJobs.OwnedJob): Promise<boolean> {
+  private compare(job: ownedJobs.OwnedJob): Promise<boolean> {
+    return this.errors.settle(() => this.tryCompare(job), false);
+  }
+
+  private async tryCompare(job: ownedJobs.OwnedJob): Promise<boolean> {
     const knownRevision = job.revision;
     const state = await this.options.store.readHead(job.id);
     if (state === jobStores.UNREADABLE) return false;
@@ -121,7 +130,11 @@
   }
 
   /** Takes over a job if this gateway is responsible for it; returns false to try it again soon. */
-  private async takeOverIfResponsible(id: string): Promise<boolean> {
+  private takeOverIfResponsible(id: string): Promise<boolean> {
+    return this.errors.settle(() => this.tryTakeOver(id), false);
+  }
+
+  private async tryTakeOver(id: string): Promise<boolean> {
     const { store, service, environment } = this.options;
     const state = await store.readHead(id);
     if (state === jobStores.UNREADABLE) return false;
--- a/packages/gateway/src/limits/limit-task.ts
+++ b/packages/gateway/src/limits/limit-task.ts
@@ -3,6 +3,7 @@
  * or whose replicas have left.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import type * as tableWatches from '../store/table-watch';
 import type * as rowReporters from '../store/row-reporter';
 import type * as environments from '../types/environment';
@@ -32,14 +33,18 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly options: LimitTaskOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: LimitTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: LimitTaskOptions): LimitTask {
     return new LimitTask(options);
   }
 
   start(): Promise<void> {
-    this.timer = setInterval(() => this.cleanUp(), CLEANUP_INTERVAL_MS);
+    this.timer = setInterval(() => this.errors.run(() => this.cleanUp()), CLEANUP_INTERVAL_MS);
     return Promise.resolve();
   }
 
@@ -51,11 +56,11 @@
 
   onSnapshot(rows: readonly stores.Row[]): void {
     this.shared.clear();
-    rows.forEach((row) => this.learn(row));
+    this.errors.forEach(rows, (row) => this.learn(row));
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
-    changes.forEach((change) => {
+    this.errors.forEach(changes, (change) => {
       if (!change.isRemoved) this.learn(change);
       else if (change.partition === limitRows.RATE_LIMIT_PARTITION) this.forget(change.key);
     });
--- a/packages/gateway/src/limits/permit-requester.ts
+++ b/packages/gateway/src/limits/permit-requester.ts
@@ -5,6 +5,7 @@
  * Requests for one replica that come together share a query, and while the issuer's answer tells to
  * wait no further query is sent.
  */
+import * as errorGuards from '../core/error-guard';
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as environments from '../types/environment';
 import * as incarnations from '../replicas/incarnation';
@@ -53,7 +54,11 @@
 export class PermitRequester {
   private readonly queries = boundedMaps.BoundedMap.create<ReplicaQueries>(MAXIMUM_REPLICAS);
 
-  private constructor(private readonly options: PermitRequesterOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: PermitRequesterOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, 'permits');
+  }
 
   static create(options: PermitRequesterOptions): PermitRequester {
     return new PermitRequester(options);
@@ -181,7 +186,13 @@
   }
 
   /** Asks the issuer; undefined when there is none or it does not answer. */
-  private async query(
+  private query(
+    ...query: Parameters<PermitRequester['sendQuery']>
+  ): Promise<permits.PermitReply | undefined> {
+    return this.errors.settle(() => this.sendQuery(...query), undefined);
+  }
+
+  private async sendQuery(
     replica: incarnations.Incarnation,
     request: Pick<permits.PermitQuery, 'priority' | 'count'>,
     heardMs?: number,
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -3,6 +3,7 @@
  * of them are alive.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as validities from '../core/validity';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
@@ -41,7 +42,10 @@
 
   private loggedMembers = '';
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: MembershipTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
     this.validity = validities.Validity.create(options.environment);
   }
 
@@ -145,8 +149,8 @@
   }
 
   private async renewAndRead(): Promise<void> {
-    const isRenewed = await this.renew();
-    const isRead = await this.readMembers();
+    const isRenewed = await this.errors.settle(() => this.renew(), false);
+    const isRead = await this.errors.settle(() => this.readMembers(), false);
     if (this.isStopped) return;
     const delayMs = isRenewed && isRead ? this.view.intervalMs : RETRY_DELAY_MS;
     this.timer = setTimeout(
@@ -168,7 +172,7 @@
     if (this.isStopped) return true;
     if (this.validity.completeRenewal(start, this.view.validityMs)) {
       environment.log.info('membership valid', { term: this.term });
-      this.options.onTermBegan();
+      this.errors.run(this.options.onTermBegan);
     }
     return true;
   }
@@ -199,7 +203,7 @@
     if (live === this.loggedMembers) return;
     this.options.environment.log.info('members changed', { live });
     this.loggedMembers = live;
-    this.options.onChange();
+    this.errors.run(this.options.onChange);
   }
 }
 
--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -6,6 +6,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as rowReporters from '../store/row-reporter';
 import type * as tableWatches from '../store/table-watch';
@@ -43,14 +44,21 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly options: EvidenceTaskOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: EvidenceTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: EvidenceTaskOptions): EvidenceTask {
     return new EvidenceTask(options);
   }
 
   start(): Promise<void> {
-    this.timer = setInterval(() => this.cleanUp(), CLEANUP_INTERVAL_MS);
+    this.timer = setInterval(
+      () => this.errors.settle(() => this.cleanUp(), undefined),
+      CLEANUP_INTERVAL_MS,
+    );
     return Promise.resolve();
   }
 
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -10,6 +10,7 @@
  * gets no new requests either, as nothing is known any more of its state, address or service.
  */
 import * as decisions from '@azureworks/decisions';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as replicas from '../types/replica';
 import * as oddRows from '../store/odd-rows';
@@ -77,9 +78,12 @@
 
   private readonly oddRows: oddRows.OddRows;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: ReplicaDirectoryOptions) {
     this.departures = decisions.Departures.create({ nowMs: options.environment.nowMs });
     this.oddRows = oddRows.OddRows.create(options.environment);
+    this.errors = errorGuards.ErrorGuard.create(options.environment, 'replicas');
   }
 
   static create(options: ReplicaDirectoryOptions): ReplicaDirectory {
@@ -154,14 +158,14 @@
 
   onSnapshot(rows: readonly stores.Row[]): void {
     const present = new Set(rows.map((row) => row.key));
-    rows.forEach((row) => this.applyRow(row));
+    this.errors.forEach(rows, (row) => this.applyRow(row));
     [...this.tracked.keys()]
       .filter((id) => !present.has(id))
       .forEach((id) => this.removeOrDefer(id));
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
-    changes.forEach((change) => {
+    this.errors.forEach(changes, (change) => {
       if (change.isRemoved) this.removeOrDefer(change.key);
       else this.applyRow(change);
     });
@@ -188,7 +192,7 @@
     if (replica.isDraining) {
       this.recordDeparture(replica, decisions.DepartureSource.Registry, 0);
     }
-    this.observers.forEach((observer) => observer.onReplicaChanged(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaChanged(tracked));
   }
 
   private recordDeparture(
@@ -204,7 +208,7 @@
     const tracked = this.tracked.get(id);
     if (tracked?.replica.bornMs !== bornMs || tracked.replica.address !== replica.address) return;
     tracked.isLeaving = true;
-    this.observers.forEach((observer) => observer.onReplicaLeaving?.(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaLeaving?.(tracked));
   }
 
   private removeOrDefer(id: string): void {
@@ -227,7 +231,7 @@
     this.removalTimers.delete(id);
     if (!tracked) return;
     this.options.environment.log.info('replica left', { replica: id, reason });
-    this.observers.forEach((observer) => observer.onReplicaRemoved(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaRemoved(tracked));
   }
 
   private logChange(former: replicas.Replica | undefined, replica: replicas.Replica): void {
--- a/packages/gateway/src/store/row-reporter.ts
+++ b/packages/gateway/src/store/row-reporter.ts
@@ -9,6 +9,7 @@
  * The backlog is bounded and keeps one change for each row. Changes that come together share a
  * transaction. A transaction has no conditions, so it may be repeated when its outcome is unknown.
  */
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
 
@@ -65,7 +66,11 @@
 
   private tokensUpdatedMs = -Infinity;
 
-  private constructor(private readonly options: RowReporterOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: RowReporterOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, options.subject);
+  }
 
   static create(options: RowReporterOptions): RowReporter {
     return new RowReporter(options);
@@ -128,7 +133,7 @@
   private async write(): Promise<void> {
     const { nowMs, random, metrics } = this.options.environment;
     this.isWriting = true;
-    const status = await this.writeDue();
+    const status = await this.errors.settle(() => this.writeDue(), stores.StoreStatus.Unknown);
     metrics.count(this.options.metric, { outcome: status });
     const isDone = status === stores.StoreStatus.Done;
     const backoffMs = isDone ? 0 : this.backoffMs * (0.5 + random());
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -1,8 +1,10 @@
 /**
  * Watches a table: one full read, then the changes as they happen. When the store no longer has the
- * history that is needed to continue, the table is read in full again.
+ * history that is needed to continue, the table is read in full again; so it is when an observer fails
+ * to take in changes.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as stores from '../types/store';
 
 /** Receives the rows and changes of a watched table. */
@@ -13,11 +15,25 @@
   onChanges(changes: readonly stores.RowChange[]): void;
 }
 
-/** Passes everything on to several observers, in this order. */
+/**
+ * Passes everything on to several observers, in this order. The error of one is thrown when all others
+ * have had their turn.
+ */
 export function combineObservers(observers: readonly TableObserver[]): TableObserver {
+  const notifyAll = (notify: (observer: TableObserver) => void): void => {
+    const errors: unknown[] = [];
+    observers.forEach((observer) => {
+      try {
+        notify(observer);
+      } catch (error) {
+        errors.push(error);
+      }
+    });
+    if (errors.length > 0) throw new AggregateError(errors, 'an observer of a table failed');
+  };
   return {
-    onSnapshot: (rows) => observers.forEach((observer) => observer.onSnapshot(rows)),
-    onChanges: (changes) => observers.forEach((observer) => observer.onChanges(changes)),
+    onSnapshot: (rows) => notifyAll((observer) => observer.onSnapshot(rows)),
+    onChanges: (changes) => notifyAll((observer) => observer.onChanges(changes)),
   };
 }
 
@@ -28,6 +44,7 @@
   readonly partitions?: readonly string[];
   readonly observer: TableObserver;
   readonly log: runtime.Log;
+  readonly metrics?: runtime.Metrics;
   readonly pause: (durationMs: number) => Promise<void>;
   /** The number of gateways that watch tables of this store. */
   readonly countGateways: () => number;
@@ -60,8 +77,11 @@
 
   private backoffMs = MINIMUM_BACKOFF_MS;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: TableWatchOptions) {
     this.name = `watch ${options.table}`;
+    this.errors = errorGuards.ErrorGuard.create(options, this.name);
   }
 
   static create(options: TableWatchOptions): TableWatch {
@@ -80,8 +100,10 @@
 
   private async run(): Promise<void> {
     while (!this.isStopped) {
-      const isDone =
-        this.revision === undefined ? await this.readTable() : await this.readChanges();
+      const isDone = await this.errors.settle(
+        () => (this.revision === undefined ? this.readTable() : this.readChanges()),
+        false,
+      );
       if (isDone) this.backoffMs = MINIMUM_BACKOFF_MS;
       else {
         await this.options.pause(this.backoffMs);
@@ -102,7 +124,8 @@
       revision = Math.min(revision, outcome.revision);
     }
     this.revision = revision;
-    observer.onSnapshot(rows);
+    // Reading the table again at once would meet the same rows, so the watch goes on with the changes.
+    this.errors.run(() => observer.onSnapshot(rows));
     return true;
   }
 
@@ -121,8 +144,11 @@
     }
     if (outcome.status !== stores.StoreStatus.Done) return false;
     this.revision = Math.max(this.revision ?? 0, outcome.revision);
-    if (outcome.changes.length > 0) observer.onChanges(outcome.changes);
-    return true;
+    if (outcome.changes.length === 0) return true;
+    if (this.errors.run(() => observer.onChanges(outcome.changes))) return true;
+    // What was missed of these changes is learned from the table.
+    this.revision = undefined;
+    return false;
   }
 }
 
--- a/packages/gateway/src/streams/software-history.ts
+++ b/packages/gateway/src/streams/software-history.ts
@@ -7,6 +7,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import type * as directories from '../replicas/directory';
 import * as softwares from '../replicas/software';
 import type * as environments from '../types/environment';
@@ -56,7 +57,11 @@
 
   private onMixed: (service: string) => void = () => {};
 
-  private constructor(private readonly options: SoftwareHistoryOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: SoftwareHistoryOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: SoftwareHistoryOptions): SoftwareHistory {
     return new SoftwareHistory(options);
@@ -188,7 +193,11 @@
   }
 
   /** Reads the row of a service, and writes it if this gateway keeps it; returns whether it could. */
-  private async confirm(service: string, history: ServiceHistory): Promise<boolean> {
+  private confirm(service: string, history: ServiceHistory): Promise<boolean> {
+    return this.errors.settle(() => this.tryConfirm(service, history), false);
+  }
+
+  private async tryConfirm(service: string, history: ServiceHistory): Promise<boolean> {
     const { store } = this.options;
     const { current } = history;
     const outcome = await store.read(originRows.createSoftwareRange(service));
--- a/packages/gateway/src/streams/stream-origins.ts
+++ b/packages/gateway/src/streams/stream-origins.ts
@@ -12,6 +12,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import type * as environments from '../types/environment';
+import * as errorGuards from '../core/error-guard';
 import * as boundedMaps from '../jobs/bounded-map';
 import * as stores from '../types/store';
 import * as originRows from './origin-rows';
@@ -67,14 +68,21 @@
 
   private reading: Promise<boolean> | undefined;
 
-  private constructor(private readonly options: StreamOriginsOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: StreamOriginsOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: StreamOriginsOptions): StreamOrigins {
     return new StreamOrigins(options);
   }
 
   start(): Promise<void> {
-    this.cleanupTimer = setInterval(() => this.cleanUp(), CLEANUP_INTERVAL_MS);
+    this.cleanupTimer = setInterval(
+      () => this.errors.settle(() => this.cleanUp(), undefined),
+      CLEANUP_INTERVAL_MS,
+    );
     return Promise.resolve();
   }
 
@@ -137,23 +145,26 @@
   }
 
   private async storeBacklog(): Promise<void> {
-    const { environment, store } = this.options;
-    const { vm, incarnation } = environment;
-    const origins = this.backlog.slice(0, originRows.MAXIMUM_STREAMS_PER_ROW);
-    if (origins.length > 0) {
-      this.writeCount += 1;
-      const writer = { vm, writeId: `${incarnation}.${this.writeCount}` };
-      const write = originRows.encodeOrigins(origins, store.nowMs, writer);
-      const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
-      environment.metrics.count('stream_origin_writes', { outcome: outcome.status });
-      if (outcome.status === stores.StoreStatus.Done) this.backlog.splice(0, origins.length);
-    }
+    await this.errors.settle(() => this.storeOldest(), undefined);
     this.storeTimer = undefined;
     if (this.backlog.length > 0 && !this.isStopped) {
       this.storeTimer = setTimeout(() => this.storeBacklog(), this.storeIntervalMs);
     }
   }
 
+  private async storeOldest(): Promise<void> {
+    const { environment, store } = this.options;
+    const { vm, incarnation } = environment;
+    const origins = this.backlog.slice(0, originRows.MAXIMUM_STREAMS_PER_ROW);
+    if (origins.length === 0) return;
+    this.writeCount += 1;
+    const writer = { vm, writeId: `${incarnation}.${this.writeCount}` };
+    const write = originRows.encodeOrigins(origins, store.nowMs, writer);
+    const outcome = await store.transact({ conditions: [], writes: [write], removals: [] });
+    environment.metrics.count('stream_origin_writes', { outcome: outcome.status });
+    if (outcome.status === stores.StoreStatus.Done) this.backlog.splice(0, origins.length);
+  }
+
   /** Reads the rows that were added since the last time; returns whether the store answered. */
   private async readRows(): Promise<boolean> {
     // A read that is in flight may have begun before the row was written.
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -5,6 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import type * as activeConfigurations from '../configuration/active-configuration';
+import * as errorGuards from '../core/error-guard';
 import * as suspensionDetectors from '../core/suspension-detector';
 import type * as environments from '../types/environment';
 import * as replicas from '../types/replica';
@@ -62,7 +63,10 @@
 
   private hadLease = false;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: WeightsTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
     const { vm, nowMs, wallClockMs } = options.environment;
     this.lease = decisions.Lease.create(vm, options.leaseMs, { nowMs });
     this.suspensionDetector = suspensionDetectors.SuspensionDetector.create(nowMs, wallClockMs);
@@ -102,7 +106,7 @@
           tracked.map((entry) => this.toWeightsReplica(entry)),
           desired,
         );
-        orders.forEach((order) => this.sendOrder(order, fence));
+        orders.forEach((order) => this.startOrder(order, fence));
       });
   }
 
@@ -128,6 +132,16 @@
     return wasSuspended;
   }
 
+  /** Sends an order; after an unexpected error a new one may follow. */
+  private async startOrder(order: weightsPlan.PlannedOrder, fence: number): Promise<void> {
+    const send = async (): Promise<true> => {
+      await this.sendOrder(order, fence);
+      return true;
+    };
+    if (await this.errors.settle(send, false)) return;
+    this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
+  }
+
   private async sendOrder(order: weightsPlan.PlannedOrder, fence: number): Promise<void> {
     const { environment, directory, replicaClient } = this.options;
     const tracked = directory.get(order.replicaId);
@@ -194,6 +208,18 @@
   private async poll(
     tracked: directories.TrackedReplica,
     order: weightsPlan.PlannedOrder,
+  ): Promise<void> {
+    const ask = async (): Promise<true> => {
+      await this.pollOnce(tracked, order);
+      return true;
+    };
+    if (await this.errors.settle(ask, false)) return;
+    this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
+  }
+
+  private async pollOnce(
+    tracked: directories.TrackedReplica,
+    order: weightsPlan.PlannedOrder,
   ): Promise<void> {
     const { environment, directory, replicaClient } = this.options;
     const loading = this.ordersInProgress.get(order.replicaId);
@@ -235,7 +261,7 @@
   private endOrderAfter(replicaId: string, delayMs: number): void {
     setTimeout(() => {
       this.ordersInProgress.delete(replicaId);
-      this.planOrders();
+      this.errors.run(() => this.planOrders());
     }, delayMs);
   }
 
@@ -251,7 +277,7 @@
   }
 
   private async runCycle(): Promise<void> {
-    await this.renewOrClaimLease();
+    await this.errors.settle(() => this.renewOrClaimLease(), undefined);
     if (this.isStopped) return;
     const isLeaseHolder = this.getValidFence() !== undefined;
     if (isLeaseHolder !== this.wasLeaseHolder) {
@@ -263,7 +289,7 @@
         },
       );
     }
-    if (isLeaseHolder) this.planOrders();
+    if (isLeaseHolder) this.errors.run(() => this.planOrders());
     const cycleMs = this.options.leaseMs / CYCLES_PER_LEASE;
     const factor = isLeaseHolder ? 1 : 1 + this.options.countGateways() / GATEWAYS_TO_HALVE_CHECKS;
     const delayMs = cycleMs * factor * (0.9 + 0.2 * this.options.environment.random());
