A row of our own tables that cannot be decoded is never taken for "there is none"

With a head that could not be decoded, a caller was told 404 for its batch job, an end was refused as for an unknown job, a second submission of it was accepted although nothing of it was stored, and the job's owner closed it as ended (LOST). Items and results that were no JSON threw in the reads: the caller got no answer, and the search for orphans ended. A row of a gateway that could not be decoded made the others take it for gone. A lease that could not be decoded was taken for none, so the fence began again at 1; one with a fence that is no number made the next fence no number. Evidence from the future never expired. A negative rate limit, or ids that are no texts, were believed.

Decoders of our rows now check every field. What that means, each with one log line (`row ignored`): - a head, items or a result at the requested position that cannot be decoded: 503, and the owner keeps the job; - the list of results ends before a position that is missing, and keys that are no position hide nothing; - a saved text: the item begins anew; - a gateway: what was known of it holds until its row was not renewed for too long; - the lease: it has to expire first, and the next fence is above the revision of the row. Each fence took a transaction, so no fence that was ever in use is as high. An address of a gateway that is none costs one relay.

--- a/packages/gateway/__tests__/evidence-task.test.ts
+++ b/packages/gateway/__tests__/evidence-task.test.ts
@@ -49,6 +49,18 @@
     expect(quarantine.judge(FINGERPRINT).state).toBe(decisions.QuarantineState.Suspect);
   });
 
+  it('is not believed, and is removed, when it is of a time that the store has not reached', async () => {
+    const endedMs = time.nowMs() + 2 * decisions.QUARANTINE_EVIDENCE_LIFETIME_MS;
+    const row = evidenceRows.encodeEvidence({ fingerprint: FINGERPRINT, replica: 'i-1', endedMs });
+    store.write(row.table, row.partition, row.key, row.value);
+    task.onSnapshot([{ ...row, revision: 1 }]);
+    expect(quarantine.judge(FINGERPRINT).state).toBe(decisions.QuarantineState.Clear);
+    await task.start();
+    await time.advance(61_000);
+    await task.stop();
+    expect(await time.settle(store.read(evidenceRows.EVIDENCE_RANGE))).toMatchObject({ rows: [] });
+  });
+
   it('is removed whole once it has expired, however much there is', async () => {
     for (let count = 0; count < 250; count += 50) {
       const writes = Array.from({ length: 50 }, (_unused, index) =>
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -10,7 +10,8 @@
  *   gateway stopped.
  * - `notices/...`: notifies all gateways that a job was ended, released or assigned.
  */
-import type * as jobs from '../types/batch-job';
+import * as values from '../store/json-value';
+import * as jobs from '../types/batch-job';
 import type * as stores from '../types/store';
 
 export const JOBS_TABLE = 'jobs';
@@ -87,19 +88,39 @@
 const POSITION_DIGITS = 6;
 const CHUNK_DIGITS = 2;
 const ITEM_CHUNK_DIGITS = 4;
+/** Positions have six digits. */
+const MAXIMUM_ITEMS = 10 ** POSITION_DIGITS - 1;
+const POSITION_KEY_PATTERN = /^\d{6}\.\d{2}$/;
+const ITEMS_KEY_PATTERN = /^items\.\d{4}$/;
 
 /** Encodes the value of a row. */
 export function encodeValue(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
 
-/** Decodes a head row; undefined when its value cannot be parsed. */
+/** Decodes a head row; undefined when no gateway can have written it. */
 export function decodeHead(row: stores.Row): JobHead | undefined {
-  try {
-    return JSON.parse(row.value.toString()) as JobHead;
-  } catch {
-    return undefined;
-  }
+  const head = values.getFields(values.parseJson(row.value));
+  const { total, listed } = head;
+  const isHead =
+    (head.owner === null || isOwner(head.owner)) &&
+    [head.isEnded, head.isFinished].every((flag) => typeof flag === 'boolean') &&
+    values.isWhole(total, 0, MAXIMUM_ITEMS) &&
+    values.isWhole(listed, 0, total) &&
+    // A time that was not known yet is written as null.
+    [head.submittedMs, head.acceptedMs ?? null].every(isNumberOrNull) &&
+    [head.step, head.oldestVersion, head.wantedGroups].every(isNumberOrNull) &&
+    [head.host, head.path, head.model, head.writeId].every(values.isText);
+  return isHead ? (head as unknown as JobHead) : undefined;
+}
+
+function isOwner(value: unknown): value is JobOwner {
+  const { vm, incarnation } = values.getFields(value);
+  return values.isText(vm) && values.isText(incarnation);
+}
+
+function isNumberOrNull(value: unknown): boolean {
+  return value === null || values.isNumber(value);
 }
 
 /** The common prefix of the keys at a position; it sorts before all of them. */
@@ -123,21 +144,68 @@
   }));
 }
 
+/** The values at the positions of a table. */
+export interface DecodedPositions<Value> {
+  readonly entries: readonly { readonly position: number; readonly value: Value }[];
+  /** Rows that hold no value: those of other keys, and those that cannot be decoded. */
+  readonly oddRows: readonly stores.Row[];
+  /** The positions that were written, but whose values cannot be decoded. */
+  readonly undecodablePositions: readonly number[];
+}
+
 /** Decodes the values at all positions; the rows must be in key order. */
 export function decodePositionRows<Value>(
   rows: readonly stores.Row[],
-): { readonly position: number; readonly value: Value }[] {
-  const chunks = new Map<number, Buffer[]>();
-  rows.forEach((row) => {
-    const position = Number(row.key.slice(0, POSITION_DIGITS));
-    const earlierChunks = chunks.get(position);
-    if (earlierChunks) earlierChunks.push(row.value);
-    else chunks.set(position, [row.value]);
+  decode: (value: unknown) => Value | undefined,
+): DecodedPositions<Value> {
+  const oddRows = rows.filter((row) => !POSITION_KEY_PATTERN.test(row.key));
+  const chunks = new Map<number, stores.Row[]>();
+  rows
+    .filter((row) => POSITION_KEY_PATTERN.test(row.key))
+    .forEach((row) => {
+      const position = Number(row.key.slice(0, POSITION_DIGITS));
+      const earlierChunks = chunks.get(position);
+      if (earlierChunks) earlierChunks.push(row);
+      else chunks.set(position, [row]);
+    });
+  const entries: { readonly position: number; readonly value: Value }[] = [];
+  const undecodablePositions: number[] = [];
+  chunks.forEach((positionRows, position) => {
+    const encoded = Buffer.concat(positionRows.map((row) => row.value));
+    const value = decode(values.parseJson(encoded));
+    if (value !== undefined) {
+      entries.push({ position, value });
+      return;
+    }
+    undecodablePositions.push(position);
+    oddRows.push(...positionRows);
   });
-  return [...chunks].map(([position, positionChunks]) => ({
-    position,
-    value: JSON.parse(Buffer.concat(positionChunks).toString()) as Value,
-  }));
+  return { entries, oddRows, undecodablePositions };
+}
+
+/** Checks a decoded result; undefined when no gateway can have written it. */
+export function decodeResult(value: unknown): jobs.ItemResult | undefined {
+  const { itemId, state, text, versions, score } = values.getFields(value);
+  const isResult =
+    [itemId, text].every(values.isText) &&
+    (state === jobs.ResultState.Completed || state === jobs.ResultState.Terminated) &&
+    Array.isArray(versions) &&
+    versions.every(values.isNumber) &&
+    (score === undefined || values.isText(score));
+  return isResult ? (value as jobs.ItemResult) : undefined;
+}
+
+/** Checks a decoded text; undefined when no gateway can have written it. */
+export function decodePartialText(value: unknown): PartialText | undefined {
+  const { itemId, events, lastEvent, versions, software } = values.getFields(value);
+  const isPartialText =
+    values.isText(itemId) &&
+    values.isTextList(events) &&
+    values.isWhole(lastEvent, -1) &&
+    Array.isArray(versions) &&
+    versions.every(values.isNumber) &&
+    (software === undefined || values.isText(software));
+  return isPartialText ? (value as PartialText) : undefined;
 }
 
 interface StoredScoring {
@@ -163,10 +231,28 @@
   }));
 }
 
-/** Decodes the items of a job; the rows must be in key order. */
-export function decodeItemRows(rows: readonly stores.Row[]): jobs.Item[] {
-  const encoded = Buffer.concat(rows.map((row) => row.value));
-  return (JSON.parse(encoded.toString()) as StoredItem[]).map(decodeItem);
+/** Decodes the items of a job; the rows must be in key order. Undefined when they cannot be decoded. */
+export function decodeItemRows(rows: readonly stores.Row[]): jobs.Item[] | undefined {
+  const chunks = rows.filter((row) => ITEMS_KEY_PATTERN.test(row.key)).map((row) => row.value);
+  const stored = values.parseJson(Buffer.concat(chunks));
+  if (!Array.isArray(stored) || !stored.every(isStoredItem)) return undefined;
+  return stored.map(decodeItem);
+}
+
+function isStoredItem(value: unknown): value is StoredItem {
+  const { id, path, headers, body, group, model, tokens, expectedOutputTokens, scoring } =
+    values.getFields(value);
+  return (
+    [id, path, body, group, model].every(values.isText) &&
+    values.isTextList(headers) &&
+    [tokens, expectedOutputTokens ?? null].every(isNumberOrNull) &&
+    (scoring === undefined || isStoredScoring(scoring))
+  );
+}
+
+function isStoredScoring(value: unknown): value is StoredScoring {
+  const { id, host, path, body } = values.getFields(value);
+  return [id, host, path, body].every(values.isText);
 }
 
 function encodeItem(item: jobs.Item): StoredItem {
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -193,8 +193,15 @@
     if (loaded === jobStores.UNREADABLE) return false;
     if (this.isStopping) return this.releaseIfOwned(id, claimed.state);
     const { items, results, partials } = loaded;
+    // Fewer results than were listed are no list to go on with, and a row beyond them is no result.
+    if (results.length < claimed.state.head.listed) return false;
     partials.forEach((text) => this.savedTexts.saveText(text));
-    this.startOwnedJob({ id, state: claimed.state, items, results });
+    this.startOwnedJob({
+      id,
+      state: claimed.state,
+      items,
+      results: results.slice(0, claimed.state.head.listed),
+    });
     return true;
   }
 
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -5,7 +5,9 @@
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
 import * as transactionRetries from '../store/transaction-retry';
+import * as oddRows from '../store/odd-rows';
 import * as stores from '../types/store';
+import * as boundedMaps from './bounded-map';
 import * as records from './job-record';
 
 /** The head of a job that is certainly in the store. */
@@ -24,7 +26,7 @@
   readonly partials: readonly records.PartialText[];
 }
 
-/** Returned by reads that failed because the store did not answer. */
+/** Returned by reads that failed: the store did not answer, or its rows cannot be decoded. */
 export const UNREADABLE = Symbol('unreadable');
 
 /** How long a change is retried before its outcome is reported as unknown. */
@@ -33,14 +35,23 @@
 const MAXIMUM_TRANSACTION_BYTES = 600_000;
 const MAXIMUM_TRANSACTION_ROWS = 80;
 
+/** Jobs that are remembered for having rows that cannot be decoded. */
+const MAXIMUM_ODD_JOBS = 1000;
+
 /** Access to the batch jobs in the store. */
 export class JobStore {
   private writeCount = 0;
 
+  private readonly oddRows: oddRows.OddRows;
+
+  private readonly oddJobs = boundedMaps.BoundedMap.create<true>(MAXIMUM_ODD_JOBS);
+
   private constructor(
     private readonly environment: environments.Environment,
     private readonly store: stores.Store,
-  ) {}
+  ) {
+    this.oddRows = oddRows.OddRows.create(environment);
+  }
 
   static create(environment: environments.Environment, store: stores.Store): JobStore {
     return new JobStore(environment, store);
@@ -98,7 +109,21 @@
       { conditions, writes: [headWrite, ...lastBatch], removals: [] },
       headWrite,
     );
-    return { outcome, head: this.withAcceptance(head) };
+    if (outcome.status !== stores.StoreStatus.Conflict || this.isHeadKnown(outcome.rows))
+      return { outcome, head: this.withAcceptance(head) };
+    const reason = 'the row in place of the head cannot be decoded';
+    return {
+      outcome: { status: stores.StoreStatus.NotDone, reason },
+      head: this.withAcceptance(head),
+    };
+  }
+
+  /**
+   * Whether rows of a job were read lately that cannot be decoded. To read them again soon does not
+   * help, in contrast to a store that did not answer.
+   */
+  isOdd(id: string): boolean {
+    return this.oddJobs.get(id) === true;
   }
 
   /** Reads the head of a job; undefined when there is no such job. */
@@ -111,8 +136,11 @@
     });
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
     const row = outcome.rows.find((candidate) => candidate.key === records.HEAD_KEY);
-    const head = row && records.decodeHead(row);
-    return head ? { head: this.withAcceptance(head), revision: row.revision } : undefined;
+    this.oddJobs.delete(id);
+    if (!row) return undefined;
+    const head = records.decodeHead(row);
+    if (!head) return this.reportOdd(id, [row]);
+    return { head: this.withAcceptance(head), revision: row.revision };
   }
 
   /** Reads the items of a job. */
@@ -124,10 +152,13 @@
       to: records.ITEMS_END,
     });
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
-    return records.decodeItemRows(outcome.rows);
+    return records.decodeItemRows(outcome.rows) ?? this.reportOdd(id, outcome.rows);
   }
 
-  /** Reads the results of a job from a position onwards. */
+  /**
+   * Reads the results of a job from a position onwards. The list has no gaps, so it ends before a position
+   * that is missing. It cannot be read from a position that cannot be decoded.
+   */
   async readResults(
     id: string,
     position: number,
@@ -138,7 +169,12 @@
       from: records.createPositionKey(position),
     });
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
-    return records.decodePositionRows<jobs.ItemResult>(outcome.rows).map((entry) => entry.value);
+    const decoded = records.decodePositionRows(outcome.rows, records.decodeResult);
+    const { entries, undecodablePositions } = decoded;
+    decoded.oddRows.forEach((row) => this.oddRows.report(row, 'is no result'));
+    const gap = entries.findIndex((entry, index) => entry.position !== position + index);
+    const results = (gap < 0 ? entries : entries.slice(0, gap)).map((entry) => entry.value);
+    return undecodablePositions.includes(position) ? this.reportOdd(id, []) : results;
   }
 
   /** Loads everything that is needed to continue a job. */
@@ -150,8 +186,9 @@
     ]);
     if (items === UNREADABLE || results === UNREADABLE) return UNREADABLE;
     if (partials.status !== stores.StoreStatus.Done) return UNREADABLE;
-    const texts = records.decodePositionRows<records.PartialText>(partials.rows);
-    return { items, results, partials: texts.map((entry) => entry.value) };
+    const texts = records.decodePositionRows(partials.rows, records.decodePartialText);
+    texts.oddRows.forEach((row) => this.oddRows.report(row, 'the item begins anew'));
+    return { items, results, partials: texts.entries.map((entry) => entry.value) };
   }
 
   /** Lists the ids of all jobs that still have to be run. */
@@ -246,6 +283,20 @@
     }
   }
 
+  /** Whether the head among rows that conflicted can be decoded. */
+  private isHeadKnown(rows: readonly stores.Row[]): boolean {
+    const row = rows.find(({ key }) => key === records.HEAD_KEY);
+    if (!row || records.decodeHead(row)) return true;
+    this.reportOdd(row.partition, [row]);
+    return false;
+  }
+
+  private reportOdd(id: string, rows: readonly stores.Row[]): typeof UNREADABLE {
+    this.oddJobs.set(id, true);
+    rows.forEach((row) => this.oddRows.report(row, 'the job cannot be read'));
+    return UNREADABLE;
+  }
+
   /**
    * Lets the items live from the response that has just shown the job, unless an earlier owner did so;
    * the next change of the job stores that time. A start that is too late is safe: no item is given up
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -124,7 +124,7 @@
   private async tryCompare(job: ownedJobs.OwnedJob): Promise<boolean> {
     const knownRevision = job.revision;
     const state = await this.options.store.readHead(job.id);
-    if (state === jobStores.UNREADABLE) return false;
+    if (state === jobStores.UNREADABLE) return this.options.store.isOdd(job.id);
     job.compare(state, knownRevision);
     return true;
   }
@@ -137,7 +137,7 @@
   private async tryTakeOver(id: string): Promise<boolean> {
     const { store, service, environment } = this.options;
     const state = await store.readHead(id);
-    if (state === jobStores.UNREADABLE) return false;
+    if (state === jobStores.UNREADABLE) return store.isOdd(id);
     if (!state || state.head.isEnded || state.head.isFinished) return true;
     const isAssigned = store.isOwn(state.head);
     if (!isAssigned && !(this.isOrphan(state.head) && this.isResponsible(state.head))) return true;
@@ -152,7 +152,7 @@
     });
     const reason = isAssigned ? 'assigned' : 'orphaned';
     environment.metrics.count('jobs_taken_over', { reason, isTaken: String(isTaken) });
-    return isTaken;
+    return isTaken || store.isOdd(id);
   }
 
   private isOrphan(head: records.JobHead): boolean {
--- a/packages/gateway/src/limits/limit-rows.ts
+++ b/packages/gateway/src/limits/limit-rows.ts
@@ -3,6 +3,7 @@
  */
 import * as records from '../jobs/job-record';
 import type * as incarnations from '../replicas/incarnation';
+import * as values from '../store/json-value';
 import type * as stores from '../types/store';
 
 /**
@@ -29,14 +30,9 @@
 
 /** Decodes a row; undefined when no gateway can have written it. */
 export function decodeLimit(row: stores.Row): SharedLimit | undefined {
-  try {
-    const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
-    const { address, bornMs, requestsPerSecond } = value;
-    if (typeof address !== 'string' || typeof bornMs !== 'number') return undefined;
-    if (typeof requestsPerSecond !== 'number') return undefined;
-    return { replica: { id: row.key, address, bornMs }, requestsPerSecond };
-  } catch {
-    // A row that is not JSON was not written by a gateway.
-    return undefined;
-  }
+  const fields = values.getFields(values.parseJson(row.value));
+  const { address, bornMs, requestsPerSecond } = fields;
+  if (!values.isText(address) || !values.isNumber(bornMs)) return undefined;
+  if (!values.isNumber(requestsPerSecond) || requestsPerSecond < 0) return undefined;
+  return { replica: { id: row.key, address, bornMs }, requestsPerSecond };
 }
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -5,6 +5,8 @@
 import type * as runtime from '@azureworks/runtime';
 import * as errorGuards from '../core/error-guard';
 import * as validities from '../core/validity';
+import * as values from '../store/json-value';
+import * as oddRows from '../store/odd-rows';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
 import * as membership from './membership';
@@ -13,6 +15,8 @@
 const MEMBERS_TABLE = 'members';
 /** Delay until the next renewal after a failed renewal or read. */
 const RETRY_DELAY_MS = 250;
+/** More than the processor time of any VM, in cores. */
+const MAXIMUM_CAPACITY = 10_000;
 
 export interface MembershipTaskOptions {
   readonly environment: environments.Environment;
@@ -44,8 +48,11 @@
 
   private readonly errors: errorGuards.ErrorGuard;
 
+  private readonly oddRows: oddRows.OddRows;
+
   private constructor(private readonly options: MembershipTaskOptions) {
     this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+    this.oddRows = oddRows.OddRows.create(options.environment);
     this.validity = validities.Validity.create(options.environment);
   }
 
@@ -185,13 +192,24 @@
     const records: membership.MemberRecord[] = [];
     for (const outcome of outcomes) {
       if (outcome.status !== stores.StoreStatus.Done) return false;
-      records.push(...outcome.rows.flatMap(decodeRecord));
+      records.push(...outcome.rows.flatMap((row) => this.decode(row) ?? []));
     }
     this.view.update(records, environment.nowMs());
     this.reportChange();
     return true;
   }
 
+  /**
+   * A row that cannot be decoded does not tell that its gateway is gone: what was known of it holds until
+   * the row has not been renewed for too long.
+   */
+  private decode(row: stores.Row): membership.MemberRecord | undefined {
+    const record = decodeRecord(row);
+    if (record) return record;
+    this.oddRows.report(row, 'tells nothing new of its gateway');
+    return this.view.find(row.key);
+  }
+
   private reportChange(): void {
     const live = this.view
       .listLive()
@@ -207,26 +225,20 @@
   }
 }
 
-function decodeRecord(row: stores.Row): membership.MemberRecord[] {
-  try {
-    const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
-    const { incarnation, address, capacity, isStopping, issuesPermits } = value;
-    if (typeof incarnation !== 'string' || typeof address !== 'string') return [];
-    const { key, partition, revision } = row;
-    return [
-      {
-        vm: key,
-        failureDomain: partition,
-        incarnation,
-        address,
-        capacity: typeof capacity === 'number' ? capacity : 0,
-        isStopping: isStopping === true,
-        issuesPermits: issuesPermits === true,
-        revision,
-      },
-    ];
-  } catch {
-    // A row that is not JSON was not written by a gateway and describes no member.
-    return [];
-  }
+/** Decodes a row; undefined when no gateway can have written it. */
+function decodeRecord(row: stores.Row): membership.MemberRecord | undefined {
+  const fields = values.getFields(values.parseJson(row.value));
+  const { incarnation, address, capacity, isStopping, issuesPermits } = fields;
+  if (!values.isText(incarnation) || !values.isText(address)) return undefined;
+  const isCapacity = values.isNumber(capacity) && capacity >= 0 && capacity <= MAXIMUM_CAPACITY;
+  return {
+    vm: row.key,
+    failureDomain: row.partition,
+    incarnation,
+    address,
+    capacity: isCapacity ? capacity : 0,
+    isStopping: isStopping === true,
+    issuesPermits: issuesPermits === true,
+    revision: row.revision,
+  };
 }
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -77,6 +77,11 @@
     });
   }
 
+  /** The record of a VM as of the last read, whether it is live or not. */
+  find(vm: string): MemberRecord | undefined {
+    return this.members.get(vm)?.record;
+  }
+
   /** The live members, as of the last read. */
   listLive(): MemberRecord[] {
     return [...this.members.values()]
--- a/packages/gateway/src/quarantine/evidence-rows.ts
+++ b/packages/gateway/src/quarantine/evidence-rows.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import type * as decisions from '@azureworks/decisions';
 import * as records from '../jobs/job-record';
+import * as values from '../store/json-value';
 import type * as stores from '../types/store';
 
 /**
@@ -46,15 +47,9 @@
 export function decodeEvidence(row: stores.Row): StoredEvidence | undefined {
   const fingerprint = row.key.split('.')[0] ?? '';
   if (!FINGERPRINT_PATTERN.test(fingerprint)) return undefined;
-  try {
-    const value = JSON.parse(row.value.toString()) as Partial<StoredEvidence>;
-    const { replica, endedMs } = value;
-    if (typeof replica !== 'string' || typeof endedMs !== 'number') return undefined;
-    return { fingerprint, replica, endedMs };
-  } catch {
-    // A row that is not JSON was not written by a gateway.
-    return undefined;
-  }
+  const { replica, endedMs } = values.getFields(values.parseJson(row.value));
+  if (!values.isText(replica) || !values.isNumber(endedMs)) return undefined;
+  return { fingerprint, replica, endedMs };
 }
 
 /** Converts stored evidence to what this process records. */
--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -29,6 +29,8 @@
 const CLEANUP_ROWS = 100;
 /** Rows outlive their evidence by this time, so that clocks need not agree exactly. */
 const CLEANUP_GRACE_MS = 10_000;
+/** How far the known time of the store may be behind. */
+const MAXIMUM_CLOCK_LAG_MS = 60_000;
 /** Rows that are remembered, to know what a removal withdraws; the oldest are forgotten first. */
 const MAXIMUM_STORED_ROWS = 16_384;
 /** Fingerprints named in one log line. */
@@ -95,6 +97,7 @@
       if (!evidence) return [];
       const ended = evidenceRows.toEndedReplica(evidence, store.nowMs);
       if (ended.ageMs >= decisions.QUARANTINE_EVIDENCE_LIFETIME_MS) return [];
+      if (this.isAhead(evidence)) return [];
       this.stored.set(row.key, evidence);
       return quarantine.record(ended) ? [evidence.fingerprint] : [];
     });
@@ -149,9 +152,15 @@
       .forEach(([key]) => this.stored.delete(key));
   }
 
+  /** Whether evidence is of a time that the store has not reached, so that it would never expire. */
+  private isAhead({ endedMs }: evidenceRows.StoredEvidence): boolean {
+    return endedMs - this.options.store.nowMs > MAXIMUM_CLOCK_LAG_MS;
+  }
+
   private isExpired(row: stores.Row): boolean {
     const evidence = evidenceRows.decodeEvidence(row);
     const lifetimeMs = decisions.QUARANTINE_EVIDENCE_LIFETIME_MS + CLEANUP_GRACE_MS;
-    return !evidence || this.options.store.nowMs - evidence.endedMs >= lifetimeMs;
+    if (!evidence || this.isAhead(evidence)) return true;
+    return this.options.store.nowMs - evidence.endedMs >= lifetimeMs;
   }
 }
--- a/packages/gateway/src/store/routed-store.ts
+++ b/packages/gateway/src/store/routed-store.ts
@@ -6,6 +6,7 @@
  * meaning as a direct one, since the peer only passes it on.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as stores from '../types/store';
 
 /** A store client with a connection that can be closed. */
@@ -37,6 +38,11 @@
 /** The store counts as stable again this long after the last failed call. */
 const STABLE_AFTER_MS = 2000;
 
+interface Relay {
+  readonly store: ConnectedStore;
+  backoffUntilMs: number;
+}
+
 type Call<Outcome> = (store: stores.Store) => Promise<Outcome>;
 
 /** The store as all tasks of the gateway use it. */
@@ -49,9 +55,13 @@
 
   private isDirectlyReachable = true;
 
-  private readonly relays = new Map<string, { store: ConnectedStore; backoffUntilMs: number }>();
+  private readonly relays = new Map<string, Relay>();
 
-  private constructor(private readonly options: RoutedStoreOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: RoutedStoreOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options, 'store');
+  }
 
   static create(options: RoutedStoreOptions): RoutedStore {
     return new RoutedStore(options);
@@ -139,21 +149,23 @@
       .slice(0, MAXIMUM_RELAYS_PER_CALL);
     for (const address of addresses) {
       const relay = this.openRelay(address);
-      const outcome = await call(relay.store);
-      if (!isFailure(outcome)) return outcome;
-      relay.backoffUntilMs = this.options.nowMs() + RELAY_BACKOFF_MS;
-      if (outcome.status === stores.StoreStatus.Unknown) return outcome;
+      const outcome = relay && (await call(relay.store));
+      if (outcome && !isFailure(outcome)) return outcome;
+      if (relay) relay.backoffUntilMs = this.options.nowMs() + RELAY_BACKOFF_MS;
+      if (outcome?.status === stores.StoreStatus.Unknown) return outcome;
     }
     return undefined;
   }
 
-  private openRelay(address: string): { store: ConnectedStore; backoffUntilMs: number } {
-    let relay = this.relays.get(address);
-    if (!relay) {
-      relay = { store: this.options.connect(address), backoffUntilMs: -Infinity };
-      this.relays.set(address, relay);
-    }
-    return relay;
+  /** Connects to a relay; undefined when its address, which another program may have written, is none. */
+  private openRelay(address: string): Relay | undefined {
+    const known = this.relays.get(address);
+    if (known) return known;
+    this.errors.run(() => {
+      const store = this.options.connect(address);
+      this.relays.set(address, { store, backoffUntilMs: -Infinity });
+    });
+    return this.relays.get(address);
   }
 
   private recordDirectSuccess(): void {
--- a/packages/gateway/src/streams/origin-rows.ts
+++ b/packages/gateway/src/streams/origin-rows.ts
@@ -7,6 +7,7 @@
  * - `software/`: one row for each service.
  */
 import * as decisions from '@azureworks/decisions';
+import * as values from '../store/json-value';
 import type * as stores from '../types/store';
 
 const ORIGINS_TABLE = 'origins';
@@ -64,17 +65,12 @@
 
 /** Decodes a row; empty when no gateway can have written it. */
 export function decodeOrigins(row: stores.Row): StreamOrigin[] {
-  try {
-    const idsBySoftware = JSON.parse(row.value.toString()) as Record<string, unknown>;
-    return Object.entries(idsBySoftware).flatMap(([software, ids]) =>
-      Array.isArray(ids)
-        ? ids.map((attemptId: unknown) => ({ attemptId: String(attemptId), software }))
-        : [],
-    );
-  } catch {
-    // A row that is not JSON was not written by a gateway.
-    return [];
-  }
+  const idsBySoftware = values.getFields(values.parseJson(row.value));
+  return Object.entries(idsBySoftware).flatMap(([software, ids]) =>
+    Array.isArray(ids)
+      ? ids.filter(values.isText).map((attemptId) => ({ attemptId, software }))
+      : [],
+  );
 }
 
 export function locateSoftware(service: string): stores.RowAddress {
@@ -92,14 +88,9 @@
 
 /** Decodes a row; undefined when no gateway can have written it. */
 export function decodeSoftware(row: stores.Row): ServiceSoftware | undefined {
-  try {
-    const { software, sinceMs } = JSON.parse(row.value.toString()) as Partial<ServiceSoftware>;
-    if (!Array.isArray(software) || typeof sinceMs !== 'number') return undefined;
-    return { software, sinceMs };
-  } catch {
-    // A row that is not JSON was not written by a gateway.
-    return undefined;
-  }
+  const { software, sinceMs } = values.getFields(values.parseJson(row.value));
+  if (!values.isTextList(software) || !values.isNumber(sinceMs)) return undefined;
+  return { software, sinceMs };
 }
 
 function createTimeKey(storeMs: number): string {
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -7,6 +7,8 @@
 import type * as activeConfigurations from '../configuration/active-configuration';
 import * as errorGuards from '../core/error-guard';
 import * as suspensionDetectors from '../core/suspension-detector';
+import * as values from '../store/json-value';
+import * as oddRows from '../store/odd-rows';
 import type * as environments from '../types/environment';
 import * as replicas from '../types/replica';
 import * as stores from '../types/store';
@@ -25,6 +27,8 @@
 
 /** The row of the lease under which orders are sent. */
 const LEASE: stores.RowAddress = { table: 'leases', partition: 'weights', key: 'weights' };
+/** No VM has this name. */
+const UNKNOWN_HOLDER = '';
 /** Cycles per duration of the lease; each cycle renews, claims or checks the lease. */
 const CYCLES_PER_LEASE = 4;
 /** With this many gateways, those without the lease check it half as often. */
@@ -65,8 +69,11 @@
 
   private readonly errors: errorGuards.ErrorGuard;
 
+  private readonly oddRows: oddRows.OddRows;
+
   private constructor(private readonly options: WeightsTaskOptions) {
     this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+    this.oddRows = oddRows.OddRows.create(options.environment);
     const { vm, nowMs, wallClockMs } = options.environment;
     this.lease = decisions.Lease.create(vm, options.leaseMs, { nowMs });
     this.suspensionDetector = suspensionDetectors.SuspensionDetector.create(nowMs, wallClockMs);
@@ -301,7 +308,7 @@
     const read = await store.read({ table: LEASE.table, partition: LEASE.partition });
     if (read.status !== stores.StoreStatus.Done || this.isStopped) return;
     const current = read.rows.find((row) => row.key === LEASE.key);
-    const step = this.planLease(current && decodeLease(current));
+    const step = this.planLease(current && this.decode(current));
     if (step.kind === 'wait') return;
     this.dropLeaseIfSuspended();
     const sentMs = environment.nowMs();
@@ -315,6 +322,13 @@
     this.lease.recordWrite(step.row, sentMs);
   }
 
+  private decode(row: stores.Row): decisions.LeaseRow {
+    const lease = decodeLease(row);
+    if (lease) return lease;
+    this.oddRows.report(row, 'the lease of orders has to expire');
+    return createUnknownLease(row);
+  }
+
   /**
    * A lease held by the former process on this VM need not expire first, as that process is
    * certainly gone. The fence still increases, so that its delayed orders are rejected.
@@ -326,10 +340,18 @@
   }
 }
 
+/** Decodes the row of the lease; undefined when no gateway can have written it. */
 function decodeLease(row: stores.Row): decisions.LeaseRow | undefined {
-  try {
-    return JSON.parse(row.value.toString()) as decisions.LeaseRow;
-  } catch {
-    return undefined;
-  }
+  const { holder, fence, renewal } = values.getFields(values.parseJson(row.value));
+  if (!values.isText(holder) || !values.isWhole(renewal)) return undefined;
+  // Each fence takes a transaction, so none is above the revision of its row.
+  return values.isWhole(fence, 1, row.revision) ? { holder, fence, renewal } : undefined;
+}
+
+/**
+ * The lease that an odd row stands for: one of an unknown holder, which has to expire first, with the
+ * highest fence that can have been in use.
+ */
+function createUnknownLease(row: stores.Row): decisions.LeaseRow {
+  return { holder: UNKNOWN_HOLDER, fence: row.revision, renewal: 0 };
 }
