--- a/packages/gateway/__tests__/items-under-crashes.test.ts
+++ b/packages/gateway/__tests__/items-under-crashes.test.ts
@@ -169,7 +169,7 @@
     await crashUnderItem('job-0', CRASHES);
     const [stopping] = gateways.filter((entry) => entry.jobs.has('job'));
     const [remaining] = gateways.filter((entry) => entry !== stopping);
-    stopping.prepareStop();
+    stopping.prepareStop(time.GRACE_PERIOD_MS);
     await time.settle(stopping.releaseJobs());
     await time.advance(300);
     expect(remaining.jobs.has('job')).toBe(true);
--- a/packages/gateway/__tests__/restarted-gateways.test.ts
+++ b/packages/gateway/__tests__/restarted-gateways.test.ts
@@ -46,7 +46,7 @@
   }
 
   async function restart(first: gateway.Gateway): Promise<gateway.Gateway> {
-    first.prepareStop();
+    first.prepareStop(time.GRACE_PERIOD_MS);
     await time.settle(first.releaseJobs());
     await time.settle(first.stop());
     return system.start('vm-1', 'vm-1-second');
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -31,6 +31,7 @@
 import type * as exchanges from '../types/exchange';
 import type * as replicas from '../types/replica';
 import * as weightsTasks from '../weights/weights-task';
+import * as errorGuards from './error-guard';
 
 /** Options of a gateway, among them everything that knows the platform's formats and calls. */
 export interface GatewayOptions {
@@ -110,13 +111,14 @@
       isStoreStable: () => this.store.isStable,
     });
     const { configuration } = this;
+    const memberErrors = errorGuards.ErrorGuard.create(environment, 'changes of the members');
     this.members = membershipTasks.MembershipTask.create({
       environment,
       store: this.store,
       failureDomains: options.failureDomains,
       onChange: () => {
-        this.permitIssuer.onMembersChanged();
-        this.softwareHistory.onMembersChanged();
+        memberErrors.run(() => this.permitIssuer.onMembersChanged());
+        memberErrors.run(() => this.softwareHistory.onMembersChanged());
         this.takeover.search();
       },
       onTermBegan: () => this.takeover.compareOwn(),
@@ -138,6 +140,7 @@
         },
       },
       nowMs,
+      errorGuards.ErrorGuard.create(environment, 'replica calls'),
     );
     const quarantine = sharedQuarantines.createSharedQuarantine({
       ...options,
@@ -243,6 +246,7 @@
         observer,
         log,
         nowMs,
+        metrics,
         pause: environment.pause,
         countGateways,
       });
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -126,11 +126,13 @@
     // append to its list without knowing of each other's results.
     if (this.takingOver.has(id) || this.owned.has(id)) return false;
     this.takingOver.add(id);
-    const isTakenOver = this.isStopping
-      ? await this.releaseIfOwned(id, state)
-      : await this.claimAndLoad(id, state);
-    this.takingOver.delete(id);
-    return isTakenOver;
+    try {
+      return this.isStopping
+        ? await this.releaseIfOwned(id, state)
+        : await this.claimAndLoad(id, state);
+    } finally {
+      this.takingOver.delete(id);
+    }
   }
 
   /** Ends a job; ending it again has no effect. */
@@ -194,8 +196,15 @@
     if (loaded === jobStores.UNREADABLE) return false;
     if (this.isStopping) return this.releaseIfOwned(id, claimed.state);
     const { items, results, partials } = loaded;
+    // Fewer results than were listed are no list to go on with, and a row beyond them is no result.
+    if (results.length < claimed.state.head.listed) return false;
     partials.forEach((text) => this.savedTexts.saveText(text));
-    this.startOwnedJob({ id, state: claimed.state, items, results });
+    this.startOwnedJob({
+      id,
+      state: claimed.state,
+      items,
+      results: results.slice(0, claimed.state.head.listed),
+    });
     return true;
   }
 
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -3,7 +3,10 @@
  * of them are alive.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as validities from '../core/validity';
+import * as values from '../store/json-value';
+import * as oddRows from '../store/odd-rows';
 import type * as environments from '../types/environment';
 import * as stores from '../types/store';
 import * as membership from './membership';
@@ -14,6 +17,8 @@
 const RETRY_DELAY_MS = 250;
 /** Attempts to write the own row, the first of which may not know its revision. */
 const MAXIMUM_WRITE_ATTEMPTS = 2;
+/** More than the processor time of any VM, in cores. */
+const MAXIMUM_CAPACITY = 10_000;
 
 export interface MembershipTaskOptions {
   readonly environment: environments.Environment;
@@ -46,7 +51,13 @@
 
   private loggedMembers = '';
 
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private readonly oddRows: oddRows.OddRows;
+
   private constructor(private readonly options: MembershipTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+    this.oddRows = oddRows.OddRows.create(options.environment);
     this.validity = validities.Validity.create(options.environment);
   }
 
@@ -148,8 +159,8 @@
   }
 
   private async renewAndRead(): Promise<void> {
-    const isRenewed = await this.renew();
-    const isRead = await this.readMembers();
+    const isRenewed = await this.errors.settle(() => this.renew(), false);
+    const isRead = await this.errors.settle(() => this.readMembers(), false);
     if (this.isStopped) return;
     const delayMs = isRenewed && isRead ? this.view.intervalMs : RETRY_DELAY_MS;
     this.timer = setTimeout(
@@ -170,7 +181,7 @@
     if (this.isStopped) return true;
     if (this.validity.completeRenewal(start, this.view.validityMs)) {
       environment.log.info('membership valid', { term: this.term });
-      this.options.onTermBegan();
+      this.errors.run(this.options.onTermBegan);
     }
     return true;
   }
@@ -190,10 +201,10 @@
       }
       if (outcome.status !== stores.StoreStatus.Conflict) return false;
       const [row] = outcome.rows;
-      const isOwn =
-        row && decodeRecord(row)[0]?.incarnation === this.options.environment.incarnation;
+      const writer = row && decodeRecord(row)?.incarnation;
+      const isOthers = writer !== undefined && writer !== this.options.environment.incarnation;
       // Only the first write replaces the row of another process, the former one on this VM.
-      if (row && !isOwn && this.rowRevision !== 0) return false;
+      if (isOthers && this.rowRevision !== 0) return false;
       this.rowRevision = row?.revision ?? 0;
     }
     return false;
@@ -208,7 +219,7 @@
     const records: membership.MemberRecord[] = [];
     for (const outcome of outcomes) {
       if (outcome.status !== stores.StoreStatus.Done) return false;
-      records.push(...outcome.rows.flatMap(decodeRecord));
+      records.push(...outcome.rows.flatMap((row) => this.decode(row) ?? []));
     }
     this.view.update(records, environment.nowMs(), sentMs);
     const processes = new Set(records.map(identifyProcess));
@@ -219,6 +230,17 @@
     return true;
   }
 
+  /**
+   * A row that cannot be decoded does not tell that its gateway is gone: what was known of it holds until
+   * the row has not been renewed for too long.
+   */
+  private decode(row: stores.Row): membership.MemberRecord | undefined {
+    const record = decodeRecord(row);
+    if (record) return record;
+    this.oddRows.report(row, 'tells nothing new of its gateway');
+    return this.view.find(row.key);
+  }
+
   private reportChange(): void {
     const live = this.view
       .listLive()
@@ -230,7 +252,7 @@
     if (live === this.loggedMembers) return;
     this.options.environment.log.info('members changed', { live });
     this.loggedMembers = live;
-    this.options.onChange();
+    this.errors.run(this.options.onChange);
   }
 }
 
@@ -241,26 +263,20 @@
   return `${vm}#${incarnation}`;
 }
 
-function decodeRecord(row: stores.Row): membership.MemberRecord[] {
-  try {
-    const value = JSON.parse(row.value.toString()) as Record<string, unknown>;
-    const { incarnation, address, capacity, isStopping, issuesPermits } = value;
-    if (typeof incarnation !== 'string' || typeof address !== 'string') return [];
-    const { key, partition, revision } = row;
-    return [
-      {
-        vm: key,
-        failureDomain: partition,
-        incarnation,
-        address,
-        capacity: typeof capacity === 'number' ? capacity : 0,
-        isStopping: isStopping === true,
-        issuesPermits: issuesPermits === true,
-        revision,
-      },
-    ];
-  } catch {
-    // A row that is not JSON was not written by a gateway and describes no member.
-    return [];
-  }
+/** Decodes a row; undefined when no gateway can have written it. */
+function decodeRecord(row: stores.Row): membership.MemberRecord | undefined {
+  const fields = values.getFields(values.parseJson(row.value));
+  const { incarnation, address, capacity, isStopping, issuesPermits } = fields;
+  if (!values.isText(incarnation) || !values.isText(address)) return undefined;
+  const isCapacity = values.isNumber(capacity) && capacity >= 0 && capacity <= MAXIMUM_CAPACITY;
+  return {
+    vm: row.key,
+    failureDomain: row.partition,
+    incarnation,
+    address,
+    capacity: isCapacity ? capacity : 0,
+    isStopping: isStopping === true,
+    issuesPermits: issuesPermits === true,
+    revision: row.revision,
+  };
 }
--- a/packages/gateway/src/quarantine/evidence-rows.ts
+++ b/packages/gateway/src/quarantine/evidence-rows.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import type * as decisions from '@azureworks/decisions';
 import * as records from '../jobs/job-record';
+import * as values from '../store/json-value';
 import type * as stores from '../types/store';
 
 /**
@@ -50,22 +51,16 @@
 export function decodeEvidence(row: stores.Row): StoredEvidence | undefined {
   const fingerprint = row.key.split('.')[0] ?? '';
   if (!FINGERPRINT_PATTERN.test(fingerprint)) return undefined;
-  try {
-    const value = JSON.parse(row.value.toString()) as Partial<StoredEvidence>;
-    const { replica, endedMs } = value;
-    if (typeof replica !== 'string' || typeof endedMs !== 'number') return undefined;
-    const attempt = decodeText(value.attempt);
-    return {
-      fingerprint,
-      replica,
-      endedMs,
-      attempt,
-      failureDomain: decodeText(value.failureDomain),
-    };
-  } catch {
-    // A row that is not JSON was not written by a gateway.
-    return undefined;
-  }
+  const fields = values.getFields(values.parseJson(row.value));
+  const { replica, endedMs, attempt, failureDomain } = fields;
+  if (!values.isText(replica) || !values.isNumber(endedMs)) return undefined;
+  return {
+    fingerprint,
+    replica,
+    endedMs,
+    attempt: values.isText(attempt) ? attempt : undefined,
+    failureDomain: values.isText(failureDomain) ? failureDomain : undefined,
+  };
 }
 
 /** Converts stored evidence to what this process records. */
@@ -75,7 +70,3 @@
 ): decisions.EndedReplica {
   return { ...ended, ageMs: Math.max(0, storeNowMs - endedMs) };
 }
-
-function decodeText(value: unknown): string | undefined {
-  return typeof value === 'string' ? value : undefined;
-}
--- a/packages/gateway/src/quarantine/evidence-task.ts
+++ b/packages/gateway/src/quarantine/evidence-task.ts
@@ -6,6 +6,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as boundedMaps from '../jobs/bounded-map';
 import type * as rowReporters from '../store/row-reporter';
 import type * as tableWatches from '../store/table-watch';
@@ -28,6 +29,8 @@
 const CLEANUP_ROWS = 100;
 /** Rows outlive their evidence by this time, so that clocks need not agree exactly. */
 const CLEANUP_GRACE_MS = 10_000;
+/** How far the known time of the store may be behind. */
+const MAXIMUM_CLOCK_LAG_MS = 60_000;
 /** Rows that are remembered, to know what a removal withdraws; the oldest are forgotten first. */
 const MAXIMUM_STORED_ROWS = 16_384;
 /** Fingerprints named in one log line. */
@@ -43,14 +46,21 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly options: EvidenceTaskOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: EvidenceTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: EvidenceTaskOptions): EvidenceTask {
     return new EvidenceTask(options);
   }
 
   start(): Promise<void> {
-    this.timer = setInterval(() => this.cleanUp(), CLEANUP_INTERVAL_MS);
+    this.timer = setInterval(
+      () => this.errors.settle(() => this.cleanUp(), undefined),
+      CLEANUP_INTERVAL_MS,
+    );
     return Promise.resolve();
   }
 
@@ -87,6 +97,7 @@
       if (!evidence) return [];
       const ended = evidenceRows.toEndedReplica(evidence, store.nowMs);
       if (ended.ageMs >= decisions.QUARANTINE_EVIDENCE_LIFETIME_MS) return [];
+      if (this.isAhead(evidence)) return [];
       this.stored.set(row.key, evidence);
       return quarantine.record(ended) ? [evidence.fingerprint] : [];
     });
@@ -141,9 +152,15 @@
       .forEach(([key]) => this.stored.delete(key));
   }
 
+  /** Whether evidence is of a time that the store has not reached, so that it would never expire. */
+  private isAhead({ endedMs }: evidenceRows.StoredEvidence): boolean {
+    return endedMs - this.options.store.nowMs > MAXIMUM_CLOCK_LAG_MS;
+  }
+
   private isExpired(row: stores.Row): boolean {
     const evidence = evidenceRows.decodeEvidence(row);
     const lifetimeMs = decisions.QUARANTINE_EVIDENCE_LIFETIME_MS + CLEANUP_GRACE_MS;
-    return !evidence || this.options.store.nowMs - evidence.endedMs >= lifetimeMs;
+    if (!evidence || this.isAhead(evidence)) return true;
+    return this.options.store.nowMs - evidence.endedMs >= lifetimeMs;
   }
 }
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -5,11 +5,16 @@
  * continue. That it is leaving is learned from its answers as well as from its row, whichever comes
  * first. Right after an outage of the store, rows may be missing only until their replicas
  * renew them. A replica is then removed only if its row is still missing after a grace period.
+ *
+ * A row that cannot be decoded names no replica to use. If it replaced the row of a replica, that one
+ * gets no new requests either, as nothing is known any more of its state, address or service.
  */
 import * as decisions from '@azureworks/decisions';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as replicas from '../types/replica';
-import * as stores from '../types/store';
+import * as oddRows from '../store/odd-rows';
+import type * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
 import * as incarnations from './incarnation';
 import * as replicaHealths from './replica-health';
@@ -71,8 +76,14 @@
 
   private readonly departures: decisions.Departures;
 
+  private readonly oddRows: oddRows.OddRows;
+
+  private readonly errors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: ReplicaDirectoryOptions) {
     this.departures = decisions.Departures.create({ nowMs: options.environment.nowMs });
+    this.oddRows = oddRows.OddRows.create(options.environment);
+    this.errors = errorGuards.ErrorGuard.create(options.environment, 'replicas');
   }
 
   static create(options: ReplicaDirectoryOptions): ReplicaDirectory {
@@ -147,14 +158,14 @@
 
   onSnapshot(rows: readonly stores.Row[]): void {
     const present = new Set(rows.map((row) => row.key));
-    rows.forEach((row) => this.applyRow(row));
+    this.errors.forEach(rows, (row) => this.applyRow(row));
     [...this.tracked.keys()]
       .filter((id) => !present.has(id))
       .forEach((id) => this.removeOrDefer(id));
   }
 
   onChanges(changes: readonly stores.RowChange[]): void {
-    changes.forEach((change) => {
+    this.errors.forEach(changes, (change) => {
       if (change.isRemoved) this.removeOrDefer(change.key);
       else this.applyRow(change);
     });
@@ -162,8 +173,11 @@
 
   private applyRow(row: stores.Row): void {
     const replica = this.options.decode(row);
-    // An unreadable row does not change what is known about the replica under its key.
-    if (!replica) return;
+    if (!replica) {
+      this.oddRows.report(row, 'names no replica');
+      this.remove(row.key, 'row cannot be used');
+      return;
+    }
     clearTimeout(this.removalTimers.get(replica.id));
     this.removalTimers.delete(replica.id);
     const former = this.tracked.get(replica.id);
@@ -178,7 +192,7 @@
     if (replica.isDraining) {
       this.recordDeparture(replica, decisions.DepartureSource.Registry, 0);
     }
-    this.observers.forEach((observer) => observer.onReplicaChanged(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaChanged(tracked));
   }
 
   private recordDeparture(
@@ -194,7 +208,7 @@
     const tracked = this.tracked.get(id);
     if (tracked?.replica.bornMs !== bornMs || tracked.replica.address !== replica.address) return;
     tracked.isLeaving = true;
-    this.observers.forEach((observer) => observer.onReplicaLeaving?.(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaLeaving?.(tracked));
   }
 
   private removeOrDefer(id: string): void {
@@ -213,10 +227,11 @@
   private remove(id: string, reason: string): void {
     const tracked = this.tracked.get(id);
     this.tracked.delete(id);
+    clearTimeout(this.removalTimers.get(id));
     this.removalTimers.delete(id);
     if (!tracked) return;
     this.options.environment.log.info('replica left', { replica: id, reason });
-    this.observers.forEach((observer) => observer.onReplicaRemoved(tracked));
+    this.errors.forEach(this.observers, (observer) => observer.onReplicaRemoved(tracked));
   }
 
   private logChange(former: replicas.Replica | undefined, replica: replicas.Replica): void {
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -1,8 +1,10 @@
 /**
  * Watches a table: one full read, then the changes as they happen. When the store no longer has the
- * history that is needed to continue, the table is read in full again.
+ * history that is needed to continue, the table is read in full again; so it is when an observer fails
+ * to take in changes.
  */
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import * as stores from '../types/store';
 import * as sharedCalls from './shared-call';
 
@@ -14,11 +16,25 @@
   onChanges(changes: readonly stores.RowChange[]): void;
 }
 
-/** Passes everything on to several observers, in this order. */
+/**
+ * Passes everything on to several observers, in this order. The error of one is thrown when all others
+ * have had their turn.
+ */
 export function combineObservers(observers: readonly TableObserver[]): TableObserver {
+  const notifyAll = (notify: (observer: TableObserver) => void): void => {
+    const errors: unknown[] = [];
+    observers.forEach((observer) => {
+      try {
+        notify(observer);
+      } catch (error) {
+        errors.push(error);
+      }
+    });
+    if (errors.length > 0) throw new AggregateError(errors, 'an observer of a table failed');
+  };
   return {
-    onSnapshot: (rows) => observers.forEach((observer) => observer.onSnapshot(rows)),
-    onChanges: (changes) => observers.forEach((observer) => observer.onChanges(changes)),
+    onSnapshot: (rows) => notifyAll((observer) => observer.onSnapshot(rows)),
+    onChanges: (changes) => notifyAll((observer) => observer.onChanges(changes)),
   };
 }
 
@@ -30,6 +46,7 @@
   readonly observer: TableObserver;
   readonly log: runtime.Log;
   readonly nowMs: () => number;
+  readonly metrics?: runtime.Metrics;
   readonly pause: (durationMs: number) => Promise<void>;
   /** The number of gateways that watch tables of this store. */
   readonly countGateways: () => number;
@@ -68,6 +85,8 @@
 
   private backoffMs = MINIMUM_BACKOFF_MS;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
   private readonly catchUps: sharedCalls.SharedCall<boolean>;
 
   private constructor(private readonly options: TableWatchOptions) {
@@ -77,6 +96,7 @@
       call: () => this.readNewChanges(),
       getIntervalMs: () => chooseCatchUpIntervalMs(options.countGateways()),
     });
+    this.errors = errorGuards.ErrorGuard.create(options, this.name);
   }
 
   static create(options: TableWatchOptions): TableWatch {
@@ -103,8 +123,10 @@
 
   private async run(): Promise<void> {
     while (!this.isStopped) {
-      const isDone =
-        this.revision === undefined ? await this.readTable() : await this.readChanges();
+      const isDone = await this.errors.settle(
+        () => (this.revision === undefined ? this.readTable() : this.readChanges()),
+        false,
+      );
       if (isDone) this.backoffMs = MINIMUM_BACKOFF_MS;
       else {
         await this.options.pause(this.backoffMs);
@@ -125,7 +147,8 @@
       revision = Math.min(revision, outcome.revision);
     }
     this.revision = revision;
-    observer.onSnapshot(rows);
+    // Reading the table again at once would meet the same rows, so the watch goes on with the changes.
+    this.errors.run(() => observer.onSnapshot(rows));
     return true;
   }
 
@@ -142,9 +165,8 @@
       this.revision = undefined;
       return true;
     }
-    if (outcome.status !== stores.StoreStatus.Done) return false;
-    this.apply(outcome);
-    return true;
+    if (outcome.status !== stores.StoreStatus.Done || this.revision === undefined) return false;
+    return this.apply(outcome, this.revision);
   }
 
   private async readNewChanges(): Promise<boolean> {
@@ -153,15 +175,18 @@
     const outcome = await store.waitForChanges(table, this.revision, 0);
     // Without its history, or while it is read in full, the table is known only after that read.
     if (outcome.status !== stores.StoreStatus.Done || this.revision === undefined) return false;
-    this.apply(outcome);
-    return true;
+    return this.apply(outcome, this.revision);
   }
 
-  private apply({ changes, revision }: ReadChanges): void {
+  /** Returns false when the observer missed some of the changes, which it learns from the table. */
+  private apply({ changes, revision }: ReadChanges, knownRevision: number): boolean {
     // Two reads of changes may overlap; what the later one told includes the earlier one.
-    if (this.revision !== undefined && revision <= this.revision) return;
+    if (revision <= knownRevision) return true;
     this.revision = revision;
-    if (changes.length > 0) this.options.observer.onChanges(changes);
+    if (changes.length === 0) return true;
+    if (this.errors.run(() => this.options.observer.onChanges(changes))) return true;
+    this.revision = undefined;
+    return false;
   }
 }
 
--- a/packages/gateway/src/streams/software-history.ts
+++ b/packages/gateway/src/streams/software-history.ts
@@ -10,6 +10,7 @@
  */
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
+import * as errorGuards from '../core/error-guard';
 import type * as directories from '../replicas/directory';
 import * as softwares from '../replicas/software';
 import * as sharedCalls from '../store/shared-call';
@@ -68,7 +69,11 @@
 
   private onMixed: (service: string) => void = () => {};
 
-  private constructor(private readonly options: SoftwareHistoryOptions) {}
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: SoftwareHistoryOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+  }
 
   static create(options: SoftwareHistoryOptions): SoftwareHistory {
     return new SoftwareHistory(options);
@@ -239,7 +244,11 @@
   }
 
   /** Reads the row of a service, and writes it if this gateway keeps it; returns whether it could. */
-  private async compare(service: string, history: ServiceHistory): Promise<boolean> {
+  private compare(service: string, history: ServiceHistory): Promise<boolean> {
+    return this.errors.settle(() => this.tryCompare(service, history), false);
+  }
+
+  private async tryCompare(service: string, history: ServiceHistory): Promise<boolean> {
     const { store } = this.options;
     const { current, sinceMs } = history;
     history.isCompared = true;
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -5,7 +5,10 @@
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import type * as activeConfigurations from '../configuration/active-configuration';
+import * as errorGuards from '../core/error-guard';
 import * as suspensionDetectors from '../core/suspension-detector';
+import * as values from '../store/json-value';
+import * as oddRows from '../store/odd-rows';
 import type * as environments from '../types/environment';
 import * as replicas from '../types/replica';
 import * as stores from '../types/store';
@@ -24,6 +27,8 @@
 
 /** The row of the lease under which orders are sent. */
 const LEASE: stores.RowAddress = { table: 'leases', partition: 'weights', key: 'weights' };
+/** No VM has this name. */
+const UNKNOWN_HOLDER = '';
 /** Cycles per duration of the lease; each cycle renews, claims or checks the lease. */
 const CYCLES_PER_LEASE = 4;
 /** With this many gateways, those without the lease check it half as often. */
@@ -62,7 +67,13 @@
 
   private hadLease = false;
 
+  private readonly errors: errorGuards.ErrorGuard;
+
+  private readonly oddRows: oddRows.OddRows;
+
   private constructor(private readonly options: WeightsTaskOptions) {
+    this.errors = errorGuards.ErrorGuard.create(options.environment, this.name);
+    this.oddRows = oddRows.OddRows.create(options.environment);
     const { vm, nowMs, wallClockMs } = options.environment;
     this.lease = decisions.Lease.create(vm, options.leaseMs, { nowMs });
     this.suspensionDetector = suspensionDetectors.SuspensionDetector.create(nowMs, wallClockMs);
@@ -102,7 +113,7 @@
           tracked.map((entry) => this.toWeightsReplica(entry)),
           desired,
         );
-        orders.forEach((order) => this.sendOrder(order, fence));
+        orders.forEach((order) => this.startOrder(order, fence));
       });
   }
 
@@ -128,6 +139,16 @@
     return wasSuspended;
   }
 
+  /** Sends an order; after an unexpected error a new one may follow. */
+  private async startOrder(order: weightsPlan.PlannedOrder, fence: number): Promise<void> {
+    const send = async (): Promise<true> => {
+      await this.sendOrder(order, fence);
+      return true;
+    };
+    if (await this.errors.settle(send, false)) return;
+    this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
+  }
+
   private async sendOrder(order: weightsPlan.PlannedOrder, fence: number): Promise<void> {
     const { environment, directory, replicaClient } = this.options;
     const tracked = directory.get(order.replicaId);
@@ -194,6 +215,18 @@
   private async poll(
     tracked: directories.TrackedReplica,
     order: weightsPlan.PlannedOrder,
+  ): Promise<void> {
+    const ask = async (): Promise<true> => {
+      await this.pollOnce(tracked, order);
+      return true;
+    };
+    if (await this.errors.settle(ask, false)) return;
+    this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
+  }
+
+  private async pollOnce(
+    tracked: directories.TrackedReplica,
+    order: weightsPlan.PlannedOrder,
   ): Promise<void> {
     const { environment, directory, replicaClient } = this.options;
     const loading = this.ordersInProgress.get(order.replicaId);
@@ -235,7 +268,7 @@
   private endOrderAfter(replicaId: string, delayMs: number): void {
     setTimeout(() => {
       this.ordersInProgress.delete(replicaId);
-      this.planOrders();
+      this.errors.run(() => this.planOrders());
     }, delayMs);
   }
 
@@ -251,7 +284,7 @@
   }
 
   private async runCycle(): Promise<void> {
-    await this.renewOrClaimLease();
+    await this.errors.settle(() => this.renewOrClaimLease(), undefined);
     if (this.isStopped) return;
     const isLeaseHolder = this.getValidFence() !== undefined;
     if (isLeaseHolder !== this.wasLeaseHolder) {
@@ -263,7 +296,7 @@
         },
       );
     }
-    if (isLeaseHolder) this.planOrders();
+    if (isLeaseHolder) this.errors.run(() => this.planOrders());
     const cycleMs = this.options.leaseMs / CYCLES_PER_LEASE;
     const factor = isLeaseHolder ? 1 : 1 + this.options.countGateways() / GATEWAYS_TO_HALVE_CHECKS;
     const delayMs = cycleMs * factor * (0.9 + 0.2 * this.options.environment.random());
@@ -275,7 +308,7 @@
     const read = await store.read({ table: LEASE.table, partition: LEASE.partition });
     if (read.status !== stores.StoreStatus.Done || this.isStopped) return;
     const current = read.rows.find((row) => row.key === LEASE.key);
-    const step = this.planLease(current && decodeLease(current));
+    const step = this.planLease(current && this.decode(current));
     if (step.kind === 'wait') return;
     this.dropLeaseIfSuspended();
     const sentMs = environment.nowMs();
@@ -289,6 +322,13 @@
     this.lease.recordWrite(step.row, sentMs);
   }
 
+  private decode(row: stores.Row): decisions.LeaseRow {
+    const lease = decodeLease(row);
+    if (lease) return lease;
+    this.oddRows.report(row, 'the lease of orders has to expire');
+    return createUnknownLease(row);
+  }
+
   /**
    * A lease held by the former process on this VM need not expire first, as that process is
    * certainly gone. The fence still increases, so that its delayed orders are rejected.
@@ -300,10 +340,18 @@
   }
 }
 
+/** Decodes the row of the lease; undefined when no gateway can have written it. */
 function decodeLease(row: stores.Row): decisions.LeaseRow | undefined {
-  try {
-    return JSON.parse(row.value.toString()) as decisions.LeaseRow;
-  } catch {
-    return undefined;
-  }
+  const { holder, fence, renewal } = values.getFields(values.parseJson(row.value));
+  if (!values.isText(holder) || !values.isWhole(renewal)) return undefined;
+  // Each fence takes a transaction, so none is above the revision of its row.
+  return values.isWhole(fence, 1, row.revision) ? { holder, fence, renewal } : undefined;
+}
+
+/**
+ * The lease that an odd row stands for: one of an unknown holder, which has to expire first, with the
+ * highest fence that can have been in use.
+ */
+function createUnknownLease(row: stores.Row): decisions.LeaseRow {
+  return { holder: UNKNOWN_HOLDER, fence: row.revision, renewal: 0 };
 }
