A suspect request is no longer retried at a replica that is known to be down

Callers whose request ran on a replica that crashed got 'target-failed' although replicas were up: the retry went to one that had just refused a connection.

Cause: a suspect request is kept apart from other suspects and, since, from the failure domains that it lost replicas in. Both narrowed the choice before placement could leave out ejected replicas, so an ejected one remained where it was the only one in another domain. The choice now prefers replicas that are not ejected first.

Evidence: the new case of request-quarantine fails before and passes.

--- a/packages/gateway/__tests__/request-quarantine.test.ts
+++ b/packages/gateway/__tests__/request-quarantine.test.ts
@@ -245,6 +245,26 @@
     expect(system.replicas.crashes).toHaveLength(2);
   });
 
+  it('is not retried at a replica that is known to be down while it is suspect', async () => {
+    system.configure(systems.createConfiguration(2, { maximumAttempts: 2 }));
+    REPLICAS.forEach((id) => system.store.remove('replicas', '', id));
+    // None is in the failure domain of the gateway, so all are used.
+    ['x1', 'x2', 'y1'].forEach((id) =>
+      system.addReplica(id, { isPlain: true, failureDomain: `domain-${id.slice(0, 1)}` }),
+    );
+    const [entry] = await startAll();
+    system.replicas.crash('y1');
+    // A connection that is refused shows that the replica is down.
+    for (let count = 0; count < 3; count += 1) await sendAndSettle(entry, `other ${count}`);
+    ['x1', 'x2'].forEach((id) => {
+      system.replicas.getBehaviour(id).answerMs = 60;
+    });
+    const reply = send(entry, 'innocent');
+    await time.advance(20);
+    system.replicas.crash(system.replicas.calls.at(-1)?.replica ?? '');
+    expect(await time.settle(reply)).toMatchObject({ kind: 'answer', answer: { status: 200 } });
+  });
+
   it('is refused as a stream, too', async () => {
     const configuration = systems.createConfiguration(2);
     const [, plain] = configuration.routes;
--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -63,8 +63,10 @@
     const { state } = this;
     if (state === decisions.QuarantineState.Clear) return candidates;
     if (state === decisions.QuarantineState.Quarantined || this.running > 0) return [];
-    const separate = prefer(candidates, (replica) => !this.quarantine.hasSuspect(replica));
-    return prefer(separate, ({ failureDomain }) => !this.lostDomains.has(failureDomain));
+    const nowMs = this.nowMs();
+    const sound = prefer(candidates, ({ health }) => !health.isEjected(nowMs));
+    const separate = prefer(sound, ({ replica }) => !this.quarantine.hasSuspect(replica));
+    return prefer(separate, ({ replica }) => !this.lostDomains.has(replica.failureDomain));
   }
 
   /**
@@ -120,8 +122,8 @@
 /** The replicas that meet a condition, or all if there are none. */
 function prefer(
   candidates: readonly directories.TrackedReplica[],
-  condition: (replica: replicas.Replica) => boolean,
+  condition: (candidate: directories.TrackedReplica) => boolean,
 ): readonly directories.TrackedReplica[] {
-  const preferred = candidates.filter(({ replica }) => condition(replica));
+  const preferred = candidates.filter(condition);
   return preferred.length > 0 ? preferred : candidates;
 }
