An item no longer waits without limit for room at the software that began it

Cause: `JobRunner.listSuitable` keeps a text at its software as long as one replica of it works, whether or not it has room, and nothing bounded the wait.

Evidence: `software-versions`, "begin anew after a while when only replicas of other versions have room": none of the four items of a replica that left was run again in 4 s; now all four are, and no text holds two versions.

After 2 s without room an item's text is discarded if a replica anywhere takes the item at once; otherwise it keeps its text and waits on. No existing test was changed.

--- a/packages/gateway/__tests__/software-versions.test.ts
+++ b/packages/gateway/__tests__/software-versions.test.ts
@@ -575,6 +575,23 @@
       expect(system.replicas.runs.some((item) => (item.afterEvent ?? 0) > 40)).toBe(true);
     });
 
+    it('begin anew after a while when only replicas of other versions have room', async () => {
+      addEngines('v1', ['e1', 'e2']);
+      const entry = await system.start('vm-1');
+      await run(entry, 2000);
+      await time.advance(1000);
+      addEngines('v2', ['e3', 'e4']);
+      const cutOff = system.replicas.runs.filter(({ replica }) => replica === 'e2');
+      expect(cutOff).toHaveLength(4);
+      removeEngines(['e2']);
+      await time.advance(4000);
+      const later = system.replicas.runs.filter(({ startedMs }) => startedMs > time.nowMs() - 4000);
+      expect(later.map(({ itemId }) => itemId).sort()).toEqual(
+        cutOff.map(({ itemId }) => itemId).sort(),
+      );
+      expect(listJoinedRuns()).toEqual([]);
+    });
+
     it('begin anew when an earlier gateway did not save the version that began them', async () => {
       addEngines('v1', ['e1']);
       const connectivity = { isDirectCut: false, isIsolated: false };
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -52,6 +52,9 @@
 
   lastEventMs = 0;
 
+  /** Since when no replica that can go on with its text has room; undefined while one runs it. */
+  waitingSinceMs: number | undefined;
+
   /** Number of events received in the current run. */
   runEvents = 0;
 
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -37,6 +37,11 @@
 const SLOW_CHECK_INTERVAL_MS = 200;
 /** Moves items off replicas whose time per event exceeds this multiple of the others' median. */
 const SLOW_REPLICA_FACTOR = 2;
+/**
+ * How long an item waits for room at the software that began its text while other replicas have room.
+ * Well below the 5 s for which an item may be at no replica.
+ */
+const CONTINUATION_WAIT_MS = 2000;
 /** Assumed time per event while no replica has been measured. */
 const DEFAULT_EVENT_MS = 40;
 /** Runs with fewer events do not show yet how fast their replica is. */
@@ -174,8 +179,30 @@
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
-    const tracked = this.chooseReplica(job, itemProgress, route, nowMs);
-    if (tracked) this.runItem(job, itemProgress, route, tracked);
+    const tracked =
+      this.chooseReplica(job, itemProgress, route, nowMs) ??
+      this.chooseForAnew(job, itemProgress, route, nowMs);
+    if (!tracked) return;
+    itemProgress.waitingSinceMs = undefined;
+    this.runItem(job, itemProgress, route, tracked);
+  }
+
+  /** Chooses a replica at which an item begins anew that has waited long enough to go on. */
+  private chooseForAnew(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    route: configurations.Route,
+    nowMs: number,
+  ): directories.TrackedReplica | undefined {
+    if (itemProgress.lastEvent === undefined) return undefined;
+    if (itemProgress.waitingSinceMs === undefined) {
+      Object.assign(itemProgress, { waitingSinceMs: nowMs });
+      this.options.environment.pause(CONTINUATION_WAIT_MS).then(() => this.scheduleDispatch());
+    }
+    if (nowMs - (itemProgress.waitingSinceMs ?? nowMs) < CONTINUATION_WAIT_MS) return undefined;
+    const chosen = this.chooseAmong(this.listAnywhere(route), job, itemProgress, route, nowMs);
+    if (chosen) this.discardText(job, itemProgress, 'no replica that can go on with it has room');
+    return chosen;
   }
 
   private chooseReplica(
@@ -183,10 +210,21 @@
     itemProgress: progress.ItemProgress,
     route: configurations.Route,
     nowMs: number,
+  ): directories.TrackedReplica | undefined {
+    const suitable = this.listSuitable(job, itemProgress, route, nowMs);
+    return this.chooseAmong(suitable, job, itemProgress, route, nowMs);
+  }
+
+  private chooseAmong(
+    suitable: readonly directories.TrackedReplica[],
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    route: configurations.Route,
+    nowMs: number,
   ): directories.TrackedReplica | undefined {
     const { directory, environment, permits } = this.options;
     const { model } = itemProgress.item;
-    let candidates = this.listSuitable(job, itemProgress, route, nowMs)
+    let candidates = suitable
       .filter((tracked) => {
         const version = directory.getVersion(tracked, model);
         if (version !== undefined && version < job.head.oldestVersion) return false;
@@ -219,7 +257,7 @@
     route: configurations.Route,
     nowMs: number,
   ): directories.TrackedReplica[] {
-    const { directory, environment } = this.options;
+    const { directory } = this.options;
     if (itemProgress.lastEvent !== undefined) {
       const { software } = itemProgress;
       const same = route.services
@@ -228,19 +266,34 @@
       const isContinued =
         software !== undefined && same.some(({ health }) => !health.isEjected(nowMs));
       if (isContinued) return same;
-      environment.log.info('text discarded, as no replica can go on with it', {
-        job: job.id,
-        item: itemProgress.item.id,
-        software,
-        events: itemProgress.events.length,
-      });
-      environment.metrics.count('texts_discarded', {});
-      itemProgress.reset();
+      this.discardText(job, itemProgress, 'no replica can go on with it');
     }
+    return this.listAnywhere(route);
+  }
+
+  private listAnywhere(route: configurations.Route): directories.TrackedReplica[] {
+    const { directory, environment } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     return service === undefined ? [] : directory.list(service);
   }
 
+  private discardText(
+    job: ownedJobs.OwnedJob,
+    itemProgress: progress.ItemProgress,
+    reason: string,
+  ): void {
+    const { log, metrics } = this.options.environment;
+    log.info('text discarded', {
+      job: job.id,
+      item: itemProgress.item.id,
+      reason,
+      software: itemProgress.software,
+      events: itemProgress.events.length,
+    });
+    metrics.count('texts_discarded', {});
+    itemProgress.reset();
+  }
+
   private async runItem(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
