A server that closes first accepts the connections that wait for its event loop

What callers saw: in planned stops beside load, requests on new connections ended with a reset.

Cause: while the event loop is busy, or the process waits for a processor, the kernel accepts connections for it and callers send their requests. The stop closes the listening socket from a timer, before the event loop polls; the kernel then resets every connection that was not handed over.

--- a/packages/daemon/__tests__/planned-stop.test.ts
+++ b/packages/daemon/__tests__/planned-stop.test.ts
@@ -129,6 +129,29 @@
     expect(caller.received()).toContain(`"verdict":"${verdict}"`);
   });
 
+  // Under load, connections that the kernel has accepted wait for the event loop.
+  it('answers a connection that was not accepted yet when the stop began', async () => {
+    let text = '';
+    const socket = net.connect(task.listeningPort, '127.0.0.1');
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+    });
+    socket.on('error', () => {});
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.write(REQUEST);
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    const stopped = task.stop();
+    await waitFor(() => pendingResponses.length === 1);
+    pendingResponses[0]?.();
+    await closed;
+    expect(text).toMatch(/^HTTP\/1\.1 200 /);
+    await stopped;
+  });
+
   it('returns without a wait when no connection is open', async () => {
     const startMs = performance.now();
     await task.stop();
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -146,6 +146,7 @@
     this.responsesInFlight.forEach((response) => {
       if (!response.headersSent) response.shouldKeepAlive = false;
     });
+    await runtime.handlePendingEvents();
     // The close() of http.Server would also close idle connections at once.
     net.Server.prototype.close.call(server);
     this.idleSinceMs = performance.now();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,5 +8,6 @@
 export { type Labels, Metrics } from './core/metrics';
 export { StateMachine, type TransitionListener, type Transitions } from './core/machine';
 export { pause } from './core/pause';
+export { handlePendingEvents } from './core/pending-events';
 export { Mailbox, type MessageHandler } from './core/mailbox';
 export { Supervisor, type Task } from './core/supervisor';
