A gateway that is cut off while the store is slow loses its jobs to another one

Callers: with the store slow, three gateways cut off and both services replaced, the steps that ran on a cut gateway were listed after the cut had healed, or never.

Cause: the failure detector starts the expiry of every row anew when two reads are more than 2.5 intervals apart, so that an outage removes no member. A renewal and a read of a store 60 times as slow, with the pause between them, take longer than that although every call succeeds. So no member ever expired, and one that had expired counted as live again after the next long gap.

Change: the expiry starts anew only after a gap in which a renewal or a read of this process failed, or one longer than two calls can take. A read counts for at most half of the expiry time, which changes nothing for gaps that counted before: a row must be seen unchanged at two reads, as the renewals of live members are as far apart as the reads. What an owner relies on (the validity of its own renewal) is as before and shorter than the shortest expiry.

--- a/packages/gateway/__tests__/membership.test.ts
+++ b/packages/gateway/__tests__/membership.test.ts
@@ -71,4 +71,48 @@
     updatePeriodically(view, 0, 2000, ['a', 'b']);
     expect(view.validityMs).toBeLessThan(3 * view.intervalMs);
   });
+
+  describe('while the store is slow but answers every call', () => {
+    const SLOW_PERIOD_MS = 1450;
+
+    function updateSlowly(
+      view: membership.Membership,
+      reads: number,
+      revisionOf: (vm: string, read: number) => number,
+      onRead: () => void = () => {},
+    ): void {
+      for (let read = 0; read < reads; read += 1) {
+        onRead();
+        view.update(
+          ['a', 'b'].map((vm) => createRecord(vm, revisionOf(vm, read))),
+          read * SLOW_PERIOD_MS,
+        );
+      }
+    }
+
+    it('considers a member gone that does not renew its row, and keeps to that', () => {
+      const view = membership.Membership.create();
+      updateSlowly(view, 4, (vm, read) => (vm === 'a' ? read + 1 : 1));
+      expect(view.isGone('b', 'first')).toBe(true);
+      view.update([createRecord('a', 9), createRecord('b', 1)], 4 * SLOW_PERIOD_MS);
+      expect(view.listLive().map((member) => member.vm)).toEqual(['a']);
+    });
+
+    it('considers no member gone whose renewal is seen at every second read', () => {
+      const view = membership.Membership.create();
+      updateSlowly(view, 12, (vm, read) => (vm === 'a' ? read + 1 : Math.floor(read / 2) + 1));
+      expect(view.isGone('b', 'first')).toBe(false);
+    });
+
+    it('considers no member gone when calls of this process failed between the reads', () => {
+      const view = membership.Membership.create();
+      updateSlowly(
+        view,
+        6,
+        () => 1,
+        () => view.recordFailedCall(),
+      );
+      expect(view.listLive()).toHaveLength(2);
+    });
+  });
 });
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -5,6 +5,11 @@
  * A member is gone when its row stayed unchanged for the expiry time while this process could read
  * the store, when its row was removed, or when its VM runs a newer process. Time in which the
  * store could not be read does not count towards expiry, so an outage removes no member.
+ *
+ * Load pattern: the store answers every call, but so slowly that renewals and reads are several
+ * intervals apart, while some members are cut off and their jobs wait for a new owner. Such a gap
+ * counts, unlike one in which calls failed; but no single read counts for more than half of the
+ * expiry time, because the renewals of live members are as far apart as the reads.
  */
 
 /** A member's row. */
@@ -33,10 +38,13 @@
 const VALIDITY_INTERVALS = 2;
 /** If two reads are more intervals apart than this, the expiry time of every row starts anew. */
 const MAXIMUM_GAP_INTERVALS = 2.5;
+/** Two reads may be this much further apart if all calls between them succeeded, in milliseconds. */
+const MAXIMUM_CALLS_MS = 2400;
 
 interface ObservedMember {
   readonly record: MemberRecord;
-  readonly changedMs: number;
+  /** How long the row has been unchanged while the store could be read. */
+  readonly unchangedMs: number;
 }
 
 /** The members as one process sees them. */
@@ -45,6 +53,9 @@
 
   private lastReadMs = -Infinity;
 
+  /** Whether a renewal or a read of this process has failed since the last read. */
+  private hasFailedCall = false;
+
   static create(): Membership {
     return new Membership();
   }
@@ -63,24 +74,37 @@
     return this.intervalMs * EXPIRY_INTERVALS;
   }
 
+  private get maximumGapMs(): number {
+    const slowCallsMs = this.hasFailedCall ? 0 : MAXIMUM_CALLS_MS;
+    return this.intervalMs * MAXIMUM_GAP_INTERVALS + slowCallsMs;
+  }
+
+  /** Records that a renewal or a read of this process failed. */
+  recordFailedCall(): void {
+    this.hasFailedCall = true;
+  }
+
   /** Replaces the view with the rows that were read at `nowMs`. */
   update(records: readonly MemberRecord[], nowMs: number): void {
-    const hasGap = nowMs - this.lastReadMs > this.intervalMs * MAXIMUM_GAP_INTERVALS;
+    const sinceLastReadMs = nowMs - this.lastReadMs;
+    const hasGap = sinceLastReadMs > this.maximumGapMs;
+    const countedMs = Math.min(sinceLastReadMs, this.expiryMs / 2);
     this.lastReadMs = nowMs;
+    this.hasFailedCall = false;
     const former = new Map(this.members);
     this.members.clear();
     records.forEach((record) => {
       const observed = former.get(record.vm);
       const isUnchanged = observed?.record.revision === record.revision;
-      const changedMs = isUnchanged && observed && !hasGap ? observed.changedMs : nowMs;
-      this.members.set(record.vm, { record, changedMs });
+      const unchangedMs = isUnchanged && observed && !hasGap ? observed.unchangedMs + countedMs : 0;
+      this.members.set(record.vm, { record, unchangedMs });
     });
   }
 
   /** The live members, as of the last read. */
   listLive(): MemberRecord[] {
     return [...this.members.values()]
-      .filter((observed) => this.lastReadMs - observed.changedMs < this.expiryMs)
+      .filter((observed) => observed.unchangedMs < this.expiryMs)
       .map((observed) => observed.record);
   }
 
@@ -89,6 +113,6 @@
     if (this.lastReadMs === -Infinity) return false;
     const observed = this.members.get(vm);
     if (!observed || observed.record.incarnation !== incarnation) return true;
-    return this.lastReadMs - observed.changedMs >= this.expiryMs;
+    return observed.unchangedMs >= this.expiryMs;
   }
 }
