--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -6,6 +6,11 @@
  * the store, when its row was removed, or when its VM runs a newer process. Time in which the
  * store could not be read does not count towards expiry, so an outage removes no member. A read shows
  * the rows as they were at some time between its start and its end.
+ *
+ * Load pattern: the store answers every call, but so slowly that renewals and reads are several
+ * intervals apart, while some members are cut off and their jobs wait for a new owner. Such a gap
+ * counts, unlike one in which calls failed; but no single read counts for more than half of the
+ * expiry time, because the renewals of live members are as far apart as the reads.
  */
 
 /** A member's row. */
@@ -34,10 +39,12 @@
 const VALIDITY_INTERVALS = 2;
 /** If two reads are more intervals apart than this, the expiry time of every row starts anew. */
 const MAXIMUM_GAP_INTERVALS = 2.5;
+/** Two reads may be this much further apart if all calls between them succeeded, in milliseconds. */
+const MAXIMUM_CALLS_MS = 2400;
 
 interface ObservedMember {
   readonly record: MemberRecord;
-  /** The end of the read that first showed this revision. */
+  /** The end of the read that first showed this revision, put off by time that does not count. */
   readonly changedMs: number;
 }
 
@@ -50,6 +57,9 @@
 
   private lastReadMs = -Infinity;
 
+  /** Whether a renewal or a read of this process has failed since the last read. */
+  private hasFailedCall = false;
+
   static create(): Membership {
     return new Membership();
   }
@@ -68,21 +78,35 @@
     return this.intervalMs * EXPIRY_INTERVALS;
   }
 
+  private get maximumGapMs(): number {
+    const slowCallsMs = this.hasFailedCall ? 0 : MAXIMUM_CALLS_MS;
+    return this.intervalMs * MAXIMUM_GAP_INTERVALS + slowCallsMs;
+  }
+
+  /** Records that a renewal or a read of this process failed. */
+  recordFailedCall(): void {
+    this.hasFailedCall = true;
+  }
+
   /**
    * Replaces the view with the rows that were read.
    * @param nowMs the end of the read
    * @param sentMs its start
    */
   update(records: readonly MemberRecord[], nowMs: number, sentMs = nowMs): void {
-    const hasGap = nowMs - this.lastReadMs > this.intervalMs * MAXIMUM_GAP_INTERVALS;
+    const sinceLastReadMs = nowMs - this.lastReadMs;
+    const hasGap = sinceLastReadMs > this.maximumGapMs;
+    const uncountedMs = Math.max(0, sinceLastReadMs - this.expiryMs / 2);
     this.lastReadMs = nowMs;
     this.readFromMs = sentMs;
+    this.hasFailedCall = false;
     const former = new Map(this.members);
     this.members.clear();
     records.forEach((record) => {
       const observed = former.get(record.vm);
       const isUnchanged = observed?.record.revision === record.revision;
-      const changedMs = isUnchanged && observed && !hasGap ? observed.changedMs : nowMs;
+      const isCounted = isUnchanged && observed && !hasGap;
+      const changedMs = isCounted ? observed.changedMs + uncountedMs : nowMs;
       this.members.set(record.vm, { record, changedMs });
     });
   }
