The choice of a replica for an item has a module of its own

The runner had grown to 461 lines with the ways on which a text goes on or begins anew. No change of behaviour: the tests of jobs, texts, items under crashes and rate limits pass.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -4,7 +4,6 @@
  * has complete texts scored.
  */
 import type * as activeConfigurations from '../configuration/active-configuration';
-import * as routeTables from '../configuration/route-table';
 import type * as permitRequesters from '../limits/permit-requester';
 import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
@@ -13,9 +12,9 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as placement from '../replicas/placement';
-import * as softwares from '../replicas/software';
 import type * as forwarders from '../requests/forwarder';
 import * as itemOrder from './item-order';
+import * as itemPlacements from './item-placement';
 import * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
 import * as scoring from './scoring';
@@ -40,11 +39,6 @@
 const SCORING_BACKOFF_MS = 1000;
 /** Moves items off replicas whose time per event exceeds this multiple of the others' median. */
 const SLOW_REPLICA_FACTOR = 2;
-/**
- * How long an item waits for room at the software that began its text while other replicas have room.
- * Well below the 5 s for which an item may be at no replica.
- */
-const CONTINUATION_WAIT_MS = 2000;
 /** Assumed time per event while no replica has been measured. */
 const DEFAULT_EVENT_MS = 40;
 /** Runs with fewer events do not show yet how fast their replica is. */
@@ -65,9 +59,15 @@
 
   private readonly errors: errorGuards.ErrorGuard;
 
+  private readonly placement: itemPlacements.ItemPlacement;
+
   private constructor(private readonly options: JobRunnerOptions) {
     this.scoringQueue = scoringQueues.ScoringQueue.create(options.environment);
     this.errors = errorGuards.ErrorGuard.create(options.environment, 'items');
+    this.placement = itemPlacements.ItemPlacement.create({
+      ...options,
+      onRoom: () => this.scheduleDispatch(),
+    });
   }
 
   static create(options: JobRunnerOptions): JobRunner {
@@ -191,107 +191,12 @@
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
-    const tracked =
-      this.chooseReplica(job, itemProgress, route, nowMs) ??
-      this.chooseForAnew(job, itemProgress, route, nowMs);
+    const tracked = this.placement.choose(job, itemProgress, route, nowMs);
     if (!tracked) return;
     itemProgress.waitingSinceMs = undefined;
     this.startRun(job, itemProgress, route, tracked);
   }
 
-  /** Chooses a replica at which an item begins anew that has waited long enough to go on. */
-  private chooseForAnew(
-    job: ownedJobs.OwnedJob,
-    itemProgress: progress.ItemProgress,
-    route: configurations.Route,
-    nowMs: number,
-  ): directories.TrackedReplica | undefined {
-    if (itemProgress.lastEvent === undefined) return undefined;
-    if (itemProgress.waitingSinceMs === undefined) {
-      Object.assign(itemProgress, { waitingSinceMs: nowMs });
-      this.options.environment.pause(CONTINUATION_WAIT_MS).then(() => this.scheduleDispatch());
-    }
-    if (nowMs - (itemProgress.waitingSinceMs ?? nowMs) < CONTINUATION_WAIT_MS) return undefined;
-    const chosen = this.chooseAmong(this.listAnywhere(route), job, itemProgress, route, nowMs);
-    if (chosen) this.discardText(job, itemProgress, 'no replica that can go on with it has room');
-    return chosen;
-  }
-
-  private chooseReplica(
-    job: ownedJobs.OwnedJob,
-    itemProgress: progress.ItemProgress,
-    route: configurations.Route,
-    nowMs: number,
-  ): directories.TrackedReplica | undefined {
-    const suitable = this.listSuitable(job, itemProgress, route, nowMs);
-    return this.chooseAmong(suitable, job, itemProgress, route, nowMs);
-  }
-
-  private chooseAmong(
-    suitable: readonly directories.TrackedReplica[],
-    job: ownedJobs.OwnedJob,
-    itemProgress: progress.ItemProgress,
-    route: configurations.Route,
-    nowMs: number,
-  ): directories.TrackedReplica | undefined {
-    const { directory, environment, permits } = this.options;
-    const { model } = itemProgress.item;
-    let candidates = suitable
-      .filter((tracked) => {
-        const version = directory.getVersion(tracked, model);
-        if (version !== undefined && version < job.head.oldestVersion) return false;
-        if ((tracked.loadingUntilMs.get(model) ?? -Infinity) > nowMs) return false;
-        if (permits.isRefused(tracked.replica)) return false;
-        return directory.getLoad(tracked) < tracked.replica.slots;
-      })
-      .map((tracked) => {
-        const candidate = directory.createCandidate(tracked);
-        const ranItemLast = itemProgress.replicaId === tracked.replica.id;
-        // The failure domain of the replica does not matter for batch items.
-        return { ...candidate, isLocal: false, isEjected: candidate.isEjected || ranItemLast };
-      });
-    for (;;) {
-      const chosen = placement.choosePlacement(candidates, environment.random())?.tracked;
-      if (!chosen) return undefined;
-      const onPermit = (): void => this.scheduleDispatch();
-      if (permits.tryTake(chosen.replica, route.priority, onPermit)) return chosen;
-      candidates = candidates.filter(({ tracked }) => tracked !== chosen);
-    }
-  }
-
-  /**
-   * The replicas that may run an item. A text that has begun goes on where its software serves; when
-   * only replicas of other software work, it is discarded and begins anew there. While no replica seems
-   * to work, it is kept: this gateway may have stood still itself.
-   */
-  private listSuitable(
-    job: ownedJobs.OwnedJob,
-    itemProgress: progress.ItemProgress,
-    route: configurations.Route,
-    nowMs: number,
-  ): directories.TrackedReplica[] {
-    const { directory } = this.options;
-    if (itemProgress.lastEvent !== undefined) {
-      const { software } = itemProgress;
-      const serving = route.services.flatMap(({ service }) => directory.list(service));
-      const same = serving.filter(
-        ({ replica }) => softwares.identifySoftware(replica) === software,
-      );
-      const isWorking = ({ health }: directories.TrackedReplica): boolean =>
-        !health.isEjected(nowMs);
-      const isContinued = same.some(isWorking) || (same.length > 0 && !serving.some(isWorking));
-      if (software !== undefined && isContinued) return same;
-      this.discardText(job, itemProgress, 'no replica can go on with it');
-    }
-    return this.listAnywhere(route);
-  }
-
-  private listAnywhere(route: configurations.Route): directories.TrackedReplica[] {
-    const { directory, environment } = this.options;
-    const service = routeTables.chooseService(route, environment.random());
-    return service === undefined ? [] : directory.list(service);
-  }
-
   /** Runs an item; after an unexpected error it waits for another run. */
   private async startRun(
     job: ownedJobs.OwnedJob,
@@ -309,23 +214,6 @@
     setTimeout(() => this.scheduleDispatch(), LOADING_BACKOFF_MS);
   }
 
-  private discardText(
-    job: ownedJobs.OwnedJob,
-    itemProgress: progress.ItemProgress,
-    reason: string,
-  ): void {
-    const { log, metrics } = this.options.environment;
-    log.info('text discarded', {
-      job: job.id,
-      item: itemProgress.item.id,
-      reason,
-      software: itemProgress.software,
-      events: itemProgress.events.length,
-    });
-    metrics.count('texts_discarded', {});
-    itemProgress.reset();
-  }
-
   private async runItem(
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
