An entry of the list of VMs that names none does not keep the daemon from its start

By reading: one entry of the VM list that is null, or has a port out of range, threw in the daemon's read of the list, at its start and at each later read, so that it followed the list no more. An answer without a list threw too.

The client of the list now checks each entry and leaves out those that name no VM that can be connected to; the daemon logs them once until they change (`VMs ignored`, metric `vms_ignored`), and the others hold.

--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -38,6 +38,8 @@
 }
 
 const EXCHANGE_INTERVAL_MS = 500;
+/** How much of the odd entries of the VM list the log shows, in characters. */
+const MAXIMUM_LOGGED_LENGTH = 400;
 const EXCHANGE_TIMEOUT_MS = 400;
 const PROBE_TIMEOUT_MS = 600;
 const PUSH_TIMEOUT_MS = 1500;
@@ -71,6 +73,8 @@
 
   private listedEntryNames: string[] = [];
 
+  private reportedOddVms = JSON.stringify([]);
+
   private boundPort = 0;
 
   private groupRunner: GroupRunner | undefined;
@@ -305,10 +309,22 @@
   private async pollVms(): Promise<void> {
     const result = await this.options.vms.read();
     if (result.isErr()) return;
-    const entries = result.value.filter((vm) => vm.role === 'entry');
+    const { vms, oddEntries } = result.value;
+    this.reportOddVms(oddEntries);
+    const entries = vms.filter((vm) => vm.role === 'entry');
     this.listedEntryNames = entries.map((vm) => vm.name);
     entries.forEach((vm) => this.seedEntry(vm));
-    this.vmListUpdates.publish(result.value);
+    this.vmListUpdates.publish(vms);
+  }
+
+  /** Logs the entries of the VM list that name no VM, unless they are those of the last read. */
+  private reportOddVms(oddEntries: readonly unknown[]): void {
+    const text = JSON.stringify(oddEntries).slice(0, MAXIMUM_LOGGED_LENGTH);
+    if (text === this.reportedOddVms) return;
+    this.reportedOddVms = text;
+    if (oddEntries.length === 0) return;
+    this.options.metrics.count('vms_ignored', {}, oddEntries.length);
+    this.options.log.warn('VMs ignored', { count: oddEntries.length, entries: text });
   }
 
   /** Adds an entry from the VM list if it is unknown, or if it is dead and now has another port. */
--- a/packages/storage/src/types/store.ts
+++ b/packages/storage/src/types/store.ts
@@ -95,7 +95,13 @@
   readonly service?: string;
 }
 
+/** The VMs of the list, and the entries that name none that can be used. */
+export interface ListedVms {
+  readonly vms: readonly Vm[];
+  readonly oddEntries: readonly unknown[];
+}
+
 /** The platform's list of VMs. */
 export interface VmList {
-  read(): StoreResult<Vm[]>;
+  read(): StoreResult<ListedVms>;
 }
