--- a/packages/gateway/__tests__/leaving-replicas.test.ts
+++ b/packages/gateway/__tests__/leaving-replicas.test.ts
@@ -136,6 +136,19 @@
     expect(countSent('p1')).toBeGreaterThan(sent);
   });
 
+  it('is not mistaken for another replica that takes its address', async () => {
+    leave('p1');
+    await load(400);
+    system.store.remove('replicas', '', 'p1');
+    system.addReplica('p3', { isPlain: true, address: 'p1:1' });
+    await load(400);
+    expect(countSent('p3')).toBeGreaterThan(0);
+    const sent = countSent('p1');
+    system.addReplica('p1', { isPlain: true });
+    await load(400);
+    expect(countSent('p1')).toBe(sent);
+  });
+
   it('has its connections closed once, whether an answer or the store says so first', async () => {
     leave('p1');
     await load(400);
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -199,6 +199,8 @@
       readonly version?: number;
       readonly bornMs?: number;
       readonly isDraining?: boolean;
+      /** Its address; its own by default. */
+      readonly address?: string;
       /** The version of its software; null: it names none. */
       readonly softwareVersion?: string | null;
       readonly failureDomain?: string;
@@ -379,11 +381,12 @@
       readonly bornMs: number;
       readonly softwareVersion: string | null;
       readonly failureDomain: string;
+      readonly address?: string;
     };
     return {
       id: row.key,
       service: parsed.service,
-      address: `${row.key}:1`,
+      address: parsed.address ?? `${row.key}:1`,
       failureDomain: parsed.failureDomain,
       slots: 4,
       isDraining: parsed.isDraining,
