A job of a notice is found soon by the search when the store does not answer as the notice comes

The items of a new or released job could wait 5 s, until the next search, if the read of its head or its load failed right then. The search now follows at once, with its backoff.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -255,6 +255,26 @@
     expectAllCompleted(await time.settle(readAll(accepting, 'second')), job);
   });
 
+  it('starts an assigned job soon when the store did not answer as its notice came', async () => {
+    const others = [await system.start('vm-2'), await system.start('vm-3')];
+    const submitting = await system.start('vm-1');
+    await time.advance(1500);
+    const read = system.store.read.bind(system.store);
+    const silentUntilMs = time.nowMs() + 300;
+    jest
+      .spyOn(system.store, 'read')
+      .mockImplementation((range) =>
+        range.partition === 'job' && time.nowMs() < silentUntilMs
+          ? Promise.resolve({ status: 'not-done', reason: 'busy' })
+          : read(range),
+      );
+    await time.settle(submitting.jobs.submit(createJobFor('vm-2', 1)));
+    await time.advance(1500);
+    expect(others[0]?.jobs.has('job')).toBe(true);
+    expect(system.replicas.runs).toHaveLength(2);
+    jest.restoreAllMocks();
+  });
+
   it('keeps the positions of results when two gateways both act as the owner', async () => {
     const connectivity = { isDirectCut: false, isIsolated: false };
     const first = await system.start('vm-1', 'vm-1-first', connectivity);
--- a/packages/gateway/src/jobs/takeover-task.ts
+++ b/packages/gateway/src/jobs/takeover-task.ts
@@ -92,16 +92,21 @@
       if (key === records.Notice.Ended) service.onJobEnded(partition);
       if (key === records.Notice.Released) this.onReleased(change);
       if (key === records.Notice.Assigned && change.value.toString() === environment.vm)
-        this.takeOverIfResponsible(partition);
+        this.followNotice(partition);
     });
   }
 
+  /** Takes over the job of a notice; the search finds it soon if the store does not answer now. */
+  private async followNotice(id: string): Promise<void> {
+    if (!(await this.takeOverIfResponsible(id))) this.search();
+  }
+
   private onReleased(notice: stores.RowChange): void {
     const { members, environment } = this.options;
     const releaser = records.decodeReleaser(notice);
     if (releaser?.incarnation === environment.incarnation) return;
     if (releaser) members.recordStopping(releaser);
-    this.takeOverIfResponsible(notice.partition);
+    this.followNotice(notice.partition);
   }
 
   private scheduleSearch(delayMs: number): void {
