--- a/packages/decisions/__tests__/stop-deadline.test.ts
+++ b/packages/decisions/__tests__/stop-deadline.test.ts
@@ -33,4 +33,15 @@
     expect(durations.getLongestMs('a')).toBe(50);
     expect(durations.getLongestMs('b')).toBe(400);
   });
+
+  it('are kept for a bounded number of kinds, those of the latest requests', () => {
+    const durations = decisions.RecentDurations.create();
+    for (let kind = 0; kind < 5000; kind += 1) {
+      durations.record('used', 10);
+      durations.record(`route ${kind}`, 20);
+    }
+    expect(durations.getLongestMs('used')).toBe(10);
+    expect(durations.getLongestMs('route 0')).toBeUndefined();
+    expect(durations.getLongestMs('route 4999')).toBe(20);
+  });
 });
