Review case 2: the end of a batch job is missed while its runner loads it

A trainer ends a job right after the 202. The runner is reading the items of the job, and onJobEnded does nothing for a job that is not owned yet; the job is then started with the head that was read before. It runs until the next search, up to 5 s later, or the first append.

--- a/review/support/replica.mjs
+++ b/review/support/replica.mjs
@@ -10,7 +10,7 @@
 const HEARTBEAT_MS = 1200;
 const LOAD_MS = 900;
 
-/** The number of events of an item, and their data, depend on its id only. */
+/** The number of events of an item depends on its id only, as their data does. */
 export const countEvents = (id, mean) =>
   Math.max(
     4,
@@ -113,7 +113,7 @@
       response.writeHead(this.order(JSON.parse(Buffer.concat(chunks).toString()))).end();
       return;
     }
-    await this.run(request, response, Buffer.concat(chunks));
+    await this.run(request, response);
   }
 
   order(order) {
@@ -132,7 +132,7 @@
     return 202;
   }
 
-  async run(request, response, body) {
+  async run(request, response) {
     const { headers } = request;
     const id = headers['x-azureworks-attempt-id'] ?? '';
     const model = headers['x-azureworks-model'] ?? '';
@@ -152,14 +152,16 @@
     if (this.running >= slots) await this.waitForSlot(response);
     if (response.destroyed) return;
     this.running += 1;
-    this.onRun({
+    const ran = {
       replica: this.options.id,
       id,
       path: request.url,
       method: request.method,
+      after: headers['last-event-id'],
       atMs: performance.now(),
-      body,
-    });
+      endMs: Infinity,
+    };
+    this.onRun(ran);
     try {
       await this.work(
         id,
@@ -169,6 +171,7 @@
         response,
       );
     } finally {
+      ran.endMs = performance.now();
       this.running -= 1;
       this.waiting.shift()?.();
     }
@@ -190,7 +193,7 @@
   }
 
   async work(id, model, headers, answerHeaders, response) {
-    const { eventMs, meanEvents, workMs, models } = this.options;
+    const { eventMs, meanEvents, workMs, models, hasEqualLengths } = this.options;
     if (models.length === 0) {
       await timers.setTimeout(workMs);
       if (!response.destroyed) response.writeHead(200, answerHeaders).end(`answer to ${id}`);
@@ -204,11 +207,8 @@
     });
     response.flushHeaders();
     const after = headers['last-event-id'];
-    for (
-      let event = after === undefined ? 0 : Number(after) + 1;
-      event < countEvents(id, meanEvents);
-      event += 1
-    ) {
+    const events = hasEqualLengths ? meanEvents : countEvents(id, meanEvents);
+    for (let event = after === undefined ? 0 : Number(after) + 1; event < events; event += 1) {
       await timers.setTimeout(eventMs);
       if (response.destroyed) return;
       const current = this.versions.get(model) ?? 0;
--- a/review/support/system.mjs
+++ b/review/support/system.mjs
@@ -72,6 +72,7 @@
   static async create(options, onRun) {
     const system = new System();
     const { models, engineCount, engineSlots, eventMs, meanEvents, gatewayCount } = options;
+    const { hasEqualLengths = false } = options;
     const host = gateways.createHost(250);
     system.store = await stores.Store.create(host);
     system.store.write('op', '', 'config', createConfiguration(options));
@@ -87,6 +88,7 @@
           models: [],
           eventMs,
           meanEvents,
+          hasEqualLengths,
           workMs: 25,
           ...extra,
         },
