--- a/review/support/replica.mjs
+++ b/review/support/replica.mjs
@@ -193,7 +193,7 @@
   }
 
   async work(id, model, headers, answerHeaders, response) {
-    const { eventMs, meanEvents, workMs, models, hasEqualLengths } = this.options;
+    const { eventMs, meanEvents, workMs, models, hasEqualLengths, chooseEvents } = this.options;
     if (models.length === 0) {
       await timers.setTimeout(workMs);
       if (!response.destroyed) response.writeHead(200, answerHeaders).end(`answer to ${id}`);
@@ -207,7 +207,8 @@
     });
     response.flushHeaders();
     const after = headers['last-event-id'];
-    const events = hasEqualLengths ? meanEvents : countEvents(id, meanEvents);
+    const usualEvents = hasEqualLengths ? meanEvents : countEvents(id, meanEvents);
+    const events = chooseEvents?.(id) ?? usualEvents;
     for (let event = after === undefined ? 0 : Number(after) + 1; event < events; event += 1) {
       await timers.setTimeout(eventMs);
       if (response.destroyed) return;
--- a/review/support/system.mjs
+++ b/review/support/system.mjs
@@ -72,7 +72,7 @@
   static async create(options, onRun) {
     const system = new System();
     const { models, engineCount, engineSlots, eventMs, meanEvents, gatewayCount } = options;
-    const { hasEqualLengths = false } = options;
+    const { hasEqualLengths = false, chooseEvents } = options;
     const host = gateways.createHost(250);
     system.store = await stores.Store.create(host);
     system.store.write('op', '', 'config', createConfiguration(options));
@@ -89,6 +89,7 @@
           eventMs,
           meanEvents,
           hasEqualLengths,
+          chooseEvents,
           workMs: 25,
           ...extra,
         },
