--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -19,8 +19,8 @@
 const STABLE_WINDOW_MS = 3000;
 /** The length of `platform_down` with `how = "silent"` in the list of troubles of the site. */
 const SILENCE_MS = 4500;
-const ROUNDS = 4;
-const ROUND_MS = 22_000;
+const ROUNDS = 5;
+const ROUND_MS = 20_000;
 const ITEMS = 48;
 const MODELS = ['m0', 'm1', 'm2', 'm3', 'm4', 'm5'];
 
