--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -15,8 +15,8 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const MODEL = 'm0';
-const ITEMS = HAS_TROUBLE ? 100_000 : 32;
-const PROMPT_BYTES = 16;
+const ITEMS = HAS_TROUBLE ? 118_000 : 32;
+const PROMPT_BYTES = 12;
 /** `max_body_bytes` of the site. */
 const MAXIMUM_BODY_BYTES = 33_554_432;
 const LENGTH_MS = 60_000;
@@ -39,7 +39,6 @@
     headers: {
       'X-Azureworks-Model': MODEL,
       'X-Azureworks-Token-Count': '255,400',
-      'X-Azureworks-Length-Hint': '24',
     },
     body: Buffer.alloc(PROMPT_BYTES, `${index} `).toString('base64'),
     token_count: 655,
@@ -93,7 +92,7 @@
 
 /** Submits the job until it is accepted or the time is up. */
 async function submit({ gateways }) {
-  const id = `job${process.pid}`;
+  const id = `job${String(process.pid).slice(-5).padStart(5, '0')}`;
   const body = createJob(id);
   record.add(
     `the job has ${ITEMS} items and ${body.length} of at most ${MAXIMUM_BODY_BYTES} bytes`,
