A job that was ended is not started by a head that was read before

Cause: a job was started by what had been read or written before a wait. A gateway whose submission got no answer took the job over without a look at its end, and the notice of an end was forgotten while the items were loaded or the answer to the submission was on its way.

Change: JobStarter is the only way into running, for submissions, take-overs, notices and releases. It reads the head again when everything else is in memory, compares owner, end and length of the list with what was loaded, and counts ends that are announced meanwhile. A job that is accepted while its gateway begins to stop is released at once. The poll for an unknown outcome holds the id only.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -206,6 +206,7 @@
       listWorkers: () => this.members.listWorkers(),
       peers: options.peers,
       jobRetentionMs: options.jobRetentionMs,
+      onNotStarted: () => this.takeover.search(),
     });
     this.takeover = takeoverTasks.TakeoverTask.create({
       environment,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -11,6 +11,7 @@
 import * as stores from '../types/store';
 import * as answers from './answer';
 import type * as jobRunners from './job-runner';
+import * as jobStarters from './job-starter';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
 import * as partialTexts from './partial-texts';
@@ -27,6 +28,8 @@
   readonly peers: resultReaders.Peers;
   /** How long a job can be read after its submission, in milliseconds. */
   readonly jobRetentionMs: number;
+  /** Called when a job that this gateway owns was not started, for the search to find it. */
+  readonly onNotStarted: () => void;
 }
 
 const MAXIMUM_CACHED_JOBS = 2000;
@@ -51,12 +54,21 @@
 
   private readonly savedTexts = partialTexts.PartialTexts.create();
 
+  private readonly starter: jobStarters.JobStarter;
+
   private isStopping = false;
 
   /** Answers readers of results and of item bodies. */
   readonly results: resultReaders.ResultReader;
 
   private constructor(private readonly options: JobServiceOptions) {
+    this.starter = jobStarters.JobStarter.create({
+      environment: options.environment,
+      store: options.store,
+      isStopping: () => this.isStopping,
+      isStarted: (id) => this.owned.has(id),
+      run: (content) => this.run(content),
+    });
     this.results = resultReaders.ResultReader.create({
       ...options,
       jobCache: this.jobCache,
@@ -110,13 +122,13 @@
     if (outcome.status === stores.StoreStatus.Done) {
       const state = { head, revision: outcome.revision };
       this.jobCache.set(id, { total: items.length, owner: head.owner });
-      if (store.isOwn(head)) this.startOwnedJob({ id, state, items, results: [] });
+      if (store.isOwn(head)) await this.startSubmitted({ id, state, items, results: [] });
       return { isOk: true, value: undefined };
     }
     if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
     if (outcome.status === stores.StoreStatus.NotDone)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
-    this.followUnknownSubmission(job);
+    this.followUnknownSubmission(id);
     return answers.fail('outcome-unknown');
   }
 
@@ -162,6 +174,7 @@
   onJobEnded(id: string): void {
     const cachedJob = this.jobCache.get(id);
     if (cachedJob) this.jobCache.set(id, { ...cachedJob, isFinal: true });
+    this.starter.recordEnd(id);
     const owned = this.owned.get(id);
     if (!owned) return;
     if (owned.isOpen) owned.close(ownedJobs.JobCloseReason.Ended);
@@ -194,23 +207,21 @@
     if (claimed.status !== stores.StoreStatus.Done) return false;
     const loaded = await store.load(id);
     if (loaded === jobStores.UNREADABLE) return false;
-    if (this.isStopping) return this.releaseIfOwned(id, claimed.state);
-    const { items, results, partials } = loaded;
+    const { items, partials } = loaded;
     // Fewer results than were listed are no list to go on with, and a row beyond them is no result.
-    if (results.length < claimed.state.head.listed) return false;
+    const results = loaded.results.slice(0, claimed.state.head.listed);
     partials.forEach((text) => this.savedTexts.saveText(text));
-    this.startOwnedJob({
-      id,
-      state: claimed.state,
-      items,
-      results: results.slice(0, claimed.state.head.listed),
-    });
-    return true;
+    return this.starter.start({ id, state: claimed.state, items, results });
   }
 
-  private startOwnedJob(content: ownedJobs.OwnedJobContent): void {
-    // The search for jobs may have found a new job before the store answered its submission.
-    if (this.owned.has(content.id)) return;
+  /** Starts a job that was submitted here; when that fails, the search finds it. */
+  private async startSubmitted(content: ownedJobs.OwnedJobContent): Promise<void> {
+    if (await this.starter.start(content)) return;
+    this.options.onNotStarted();
+  }
+
+  /** Runs a job that the starter has compared with its head. */
+  private run(content: ownedJobs.OwnedJobContent): void {
     const { environment, store, runner } = this.options;
     const job = ownedJobs.OwnedJob.create(
       { environment, store, onClosed: (closed) => this.onJobClosed(closed) },
@@ -253,13 +264,13 @@
    * Polls for a submission with unknown outcome: it may still take effect after its answer was
    * lost, and this gateway then runs the job if it is the owner.
    */
-  private async followUnknownSubmission(job: jobs.BatchJob): Promise<void> {
+  private async followUnknownSubmission(id: string): Promise<void> {
     const { environment, store } = this.options;
     for (let poll = 0; poll < MAXIMUM_UNKNOWN_SUBMISSION_POLLS && !this.isStopping; poll += 1) {
       await environment.pause(UNKNOWN_SUBMISSION_POLL_INTERVAL_MS);
-      const state = await store.readHead(job.id);
+      const state = await store.readHead(id);
       if (state && state !== jobStores.UNREADABLE) {
-        if (store.isOwn(state.head) && !this.owned.has(job.id)) await this.takeOver(job.id, state);
+        if (store.isOwn(state.head) && !state.head.isEnded) await this.takeOver(id, state);
         return;
       }
     }
