--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -36,6 +36,11 @@
   },
   'request-barred': { status: 409, verdict: NotRun, message: 'the attempt was given up before' },
   'target-replaced': { status: 409, verdict: NotRun, message: 'the target was replaced' },
+  'body-too-slow': {
+    status: 408,
+    verdict: NotRun,
+    message: 'the body arrives too slowly',
+  },
   'body-too-large': { status: 413, verdict: NotRun, message: 'the body is too large' },
   'invalid-configuration': {
     status: 422,
@@ -45,6 +50,11 @@
   overloaded: { status: 429, verdict: NotRun, message: 'the load is too high; try again later' },
   'target-failed': { status: 502, verdict: MayHaveRun, message: 'the target failed' },
   'outcome-unknown': { status: 502, verdict: MayHaveRun, message: 'the outcome is not known' },
+  'memory-exhausted': {
+    status: 503,
+    verdict: NotRun,
+    message: 'the memory for open work has no room for the request',
+  },
   'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
   'rate-limited': {
     status: 503,
--- a/packages/gateway/__tests__/odd-rows.test.ts
+++ b/packages/gateway/__tests__/odd-rows.test.ts
@@ -5,6 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as fastCheck from 'fast-check';
 import type * as gateway from '@azureworks/gateway';
+import * as itemDecoders from '../src/jobs/item-decoder';
 import * as records from '../src/jobs/job-record';
 import * as limitRows from '../src/limits/limit-rows';
 import * as evidenceRows from '../src/quarantine/evidence-rows';
@@ -237,7 +238,8 @@
       fastCheck.property(bytes, fastCheck.string(), (value, key) => {
         const row = { table: 't', partition: 'p', key, value, revision: 5 };
         records.decodeHead(row);
-        records.decodeItemRows([row]);
+        itemDecoders.ItemDecoder.create().decode([row]);
+        itemDecoders.ItemDecoder.create().decode([{ ...row, key: 'items.0000' }]);
         records.decodePositionRows([row], records.decodeResult);
         records.decodePositionRows([{ ...row, key: '000000.00' }], records.decodePartialText);
         const evidence = evidenceRows.decodeEvidence({ ...row, key: `${'0'.repeat(32)}.1` });
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -177,6 +177,8 @@
 
   private readonly connectivityByAddress = new Map<string, Connectivity>();
 
+  private readonly memories = new Map<string, gateway.Memory>();
+
   private configuration = createConfiguration(1);
 
   static create(): TestSystem {
@@ -226,8 +228,10 @@
   ): Promise<gateway.Gateway> {
     const isUnreachable = (): boolean =>
       this.isStoreAway || connectivity.isIsolated === true || connectivity.isDead === true;
+    const environment = time.createEnvironment(vm, incarnation);
+    this.memories.set(vm, environment.memory);
     const started = gateway.Gateway.create({
-      environment: time.createEnvironment(vm, incarnation),
+      environment,
       failureDomains: ['domain-a'],
       seeds: connectivity.seeds ?? [],
       directStore: this.connect(() => connectivity.isDirectCut || isUnreachable(), connectivity),
@@ -242,7 +246,7 @@
       tables: { operator: 'operator', replicas: 'replicas' },
       decodeOperatorRow: (row) => this.decodeOperatorRow(row),
       decodeReplica,
-      decodeJob: () => 'not used',
+      decodeJob: () => Promise.resolve('not used'),
       callerHeaders: ['x-caller'],
       leaseMs: 3000,
       jobRetentionMs: 120_000,
@@ -255,6 +259,13 @@
     return started;
   }
 
+  /** The memory budget of the gateway that was last started on a VM. */
+  getMemory(vm: string): gateway.Memory {
+    const memory = this.memories.get(vm);
+    if (!memory) throw new Error(`no gateway was started on ${vm}`);
+    return memory;
+  }
+
   /** Stops all gateways that were started. */
   async stopAll(): Promise<void> {
     this.connectivityByAddress.forEach((connectivity) => {
--- a/packages/gateway/__tests__/support/virtual-time.ts
+++ b/packages/gateway/__tests__/support/virtual-time.ts
@@ -4,6 +4,10 @@
 import * as decisions from '@azureworks/decisions';
 import * as runtime from '@azureworks/runtime';
 import type * as gateway from '@azureworks/gateway';
+import * as memoryBudgets from '../../src/core/memory-budget';
+
+/** What open work of a gateway may hold. */
+export const MEMORY_BYTES = 96 * 1024 * 1024;
 
 /** Resolves after simulated milliseconds. */
 export function pause(durationMs: number): Promise<void> {
@@ -55,6 +59,7 @@
     failureDomain: 'domain-a',
     capacity: 1,
     peerAddress: `${vm}:1`,
+    memory: memoryBudgets.MemoryBudget.create(MEMORY_BYTES),
     log: runtime.SilentLog.create(),
     metrics: runtime.Metrics.create(),
     nowMs,
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -47,7 +47,7 @@
   readonly decodeOperatorRow: activeConfigurations.DecodeOperatorRow;
   readonly decodeReplica: directories.DecodeReplica;
   /** Decodes a submitted batch job; returns an error text when it is invalid. */
-  readonly decodeJob: (request: exchanges.CallerRequest) => jobs.BatchJob | string;
+  readonly decodeJob: (request: exchanges.CallerRequest) => Promise<jobs.SubmittedJob | string>;
   /** Lower-case names of the headers that identify a caller. */
   readonly callerHeaders: readonly string[];
   readonly leaseMs: number;
@@ -61,6 +61,15 @@
   | { readonly kind: 'accepted' }
   | { readonly kind: 'streamed'; readonly isWhole: boolean };
 
+/**
+ * Memory that a batch job takes while it is decoded and stored, besides its body: copies of its text, up to
+ * those of its largest item and of one transaction.
+ */
+const DECODING_COPIES = 4;
+const MAXIMUM_DECODING_BYTES = 24 * 1024 * 1024;
+/** When a request may come again that did not fit the memory: other gateways may have room at once. */
+export const MEMORY_RETRY_AFTER_MS = 200;
+
 /** One gateway. */
 export class Gateway {
   readonly jobs: jobServices.JobService;
@@ -327,10 +336,24 @@
     if (route.kind !== configurations.RouteKind.Rollout) {
       return this.forwarder.forward(caller, route);
     }
-    const job = this.options.decodeJob(caller);
-    if (typeof job === 'string') return this.refuse(caller, 'invalid-request', job);
-    const answer = await this.jobs.submit(job);
-    return answer.isOk ? { kind: 'accepted' } : { kind: 'failure', failure: answer.failure };
+    return this.submit(caller);
+  }
+
+  /** Accepts a batch job; the memory that its decoding takes is returned once it is stored. */
+  private async submit(caller: exchanges.CallerRequest): Promise<GatewayReply> {
+    const { memory } = this.options.environment;
+    const reservation = memory.tryTake(
+      Math.min(MAXIMUM_DECODING_BYTES, caller.request.body.length * DECODING_COPIES),
+    );
+    if (!reservation) return this.refuse(caller, 'memory-exhausted', 'a batch job');
+    try {
+      const job = await this.options.decodeJob(caller);
+      if (typeof job === 'string') return this.refuse(caller, 'invalid-request', job);
+      const answer = await this.jobs.submit(job);
+      return answer.isOk ? { kind: 'accepted' } : { kind: 'failure', failure: answer.failure };
+    } finally {
+      reservation.release();
+    }
   }
 
   private refuse(
@@ -346,7 +369,12 @@
       detail,
       configuration: this.configuration.current?.version,
     });
-    return { kind: 'failure', failure: decisions.createFailure(code, { detail }) };
+    const retryAfterMs = code === 'memory-exhausted' ? MEMORY_RETRY_AFTER_MS : undefined;
+    const failure = decisions.createFailure(code, {
+      detail,
+      ...(retryAfterMs !== undefined && { retryAfterMs }),
+    });
+    return { kind: 'failure', failure };
   }
 
   /** Replaces the addresses of possible peers. */
--- /dev/null
+++ b/packages/gateway/src/core/memory-budget.ts
@@ -0,0 +1,51 @@
+/**
+ * The memory that open work may hold, in bytes: bodies of requests and responses, submissions, the items
+ * and texts of batch jobs that run here, and results held for readers. It is taken before the bytes are
+ * read and given back when they are no longer held, so that a process never ends for want of memory; what
+ * does not fit is refused, or waits in the store.
+ *
+ * Load pattern: one caller sends as much as a request may have, others go on with small requests. A part of
+ * the budget is therefore kept for small reservations.
+ */
+import type * as memories from '../types/memory';
+import * as budgetReservations from './budget-reservation';
+
+/** Reservations up to this size may use the whole budget, in bytes. */
+const SMALL_RESERVATION_BYTES = 64 * 1024;
+/** Share of the budget that only small reservations may use. */
+const SMALL_SHARE = 1 / 12;
+
+/** The budget of one process. */
+export class MemoryBudget implements memories.Memory {
+  private reservedBytes = 0;
+
+  private constructor(private readonly totalBytes: number) {}
+
+  static create(totalBytes: number): MemoryBudget {
+    return new MemoryBudget(totalBytes);
+  }
+
+  get heldBytes(): number {
+    return this.reservedBytes;
+  }
+
+  open(): memories.Reservation {
+    return budgetReservations.BudgetReservation.create(this);
+  }
+
+  tryTake(bytes: number): memories.Reservation | undefined {
+    const reservation = this.open();
+    return reservation.tryGrow(bytes) ? reservation : undefined;
+  }
+
+  /** @param sizeBytes the size of the reservation once it has grown by `bytes` */
+  fits(bytes: number, sizeBytes: number): boolean {
+    const share = sizeBytes <= SMALL_RESERVATION_BYTES ? 1 : 1 - SMALL_SHARE;
+    return this.reservedBytes + bytes <= this.totalBytes * share;
+  }
+
+  /** Called by the reservations only. */
+  change(bytes: number): void {
+    this.reservedBytes += bytes;
+  }
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,7 +1,15 @@
 /**
  * Public entry of the gateway package.
  */
-export { Gateway, type GatewayOptions, type GatewayReply } from './core/gateway';
+export {
+  Gateway,
+  type GatewayOptions,
+  type GatewayReply,
+  MEMORY_RETRY_AFTER_MS,
+} from './core/gateway';
+export { MemoryBudget } from './core/memory-budget';
+export type { Memory, Reservation } from './types/memory';
+export { listMembers, type Member } from './store/json-scanner';
 export type { Environment } from './types/environment';
 export {
   type ChangesOutcome,
@@ -57,6 +65,7 @@
   type ItemResult,
   ResultState,
   type ScoringCall,
+  type SubmittedJob,
 } from './types/batch-job';
 export type { CallerRequest, Reply, ReplyStream } from './types/exchange';
 export type { Answer } from './jobs/answer';
--- a/packages/gateway/src/jobs/bounded-map.ts
+++ b/packages/gateway/src/jobs/bounded-map.ts
@@ -6,11 +6,20 @@
 export class BoundedMap<Value> {
   private readonly entries = new Map<string, Value>();
 
-  private constructor(private readonly maximumSize: number) {}
-
-  /** @param maximumSize the number of entries that are kept */
-  static create<Value>(maximumSize: number): BoundedMap<Value> {
-    return new BoundedMap(maximumSize);
+  private constructor(
+    private readonly maximumSize: number,
+    private readonly onRemoved: (value: Value) => void,
+  ) {}
+
+  /**
+   * @param maximumSize the number of entries that are kept
+   * @param onRemoved called with each entry that is evicted, deleted or replaced
+   */
+  static create<Value>(
+    maximumSize: number,
+    onRemoved: (value: Value) => void = () => {},
+  ): BoundedMap<Value> {
+    return new BoundedMap(maximumSize, onRemoved);
   }
 
   /** All entries, the one that was set longest ago first. */
@@ -27,13 +36,15 @@
   }
 
   set(key: string, value: Value): void {
-    this.entries.delete(key);
+    this.delete(key);
     this.entries.set(key, value);
     const [oldest] = this.entries.keys();
-    if (this.entries.size > this.maximumSize && oldest !== undefined) this.entries.delete(oldest);
+    if (this.entries.size > this.maximumSize && oldest !== undefined) this.delete(oldest);
   }
 
   delete(key: string): void {
-    this.entries.delete(key);
+    const value = this.entries.get(key);
+    if (!this.entries.delete(key)) return;
+    this.onRemoved(value as Value);
   }
 }
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -1,6 +1,7 @@
 /**
  * The progress of an item of a batch job, over all runs on all replicas and gateways.
  */
+import type * as memories from '../types/memory';
 import * as jobs from '../types/batch-job';
 import type * as records from './job-record';
 
@@ -15,12 +16,42 @@
 } as const;
 export type ItemPhase = (typeof ItemPhase)[keyof typeof ItemPhase];
 
+/** Memory of an item without its bytes, and of an event without its data, in bytes. */
+const ITEM_BYTES = 1500;
+const EVENT_BYTES = 100;
+/** Each character of a header or an event takes up to two bytes. */
+const CHARACTER_BYTES = 2;
+/**
+ * The longest text that is kept, in bytes as the store keeps it: its result, encoded as base64, has to fit
+ * a transaction of 1 MB.
+ */
+const MAXIMUM_TEXT_BYTES = 600_000;
+
+/** Estimates the memory of an item, in bytes. */
+export function estimateItemBytes(item: jobs.Item): number {
+  const characters = item.headers.reduce((sum, text) => sum + text.length, 0);
+  const scoringBytes = item.scoring?.body.length ?? 0;
+  return ITEM_BYTES + item.body.length + scoringBytes + characters * CHARACTER_BYTES;
+}
+
 /** The phase of an item and the text generated so far. */
 export class ItemProgress {
   phase: ItemPhase = ItemPhase.Waiting;
 
+  /** Whether its result is in the job's list in the store. */
+  isListed = false;
+
+  /** Whether an earlier job left it unfinished; the trainer then waits for its group. */
+  isCarriedOver = false;
+
   /** The data of the events received so far. */
-  events: string[] = [];
+  private data: string[] = [];
+
+  /** The length of the text in the store. */
+  private storedLength = 0;
+
+  /** The memory that the text takes. */
+  private memoryBytes = 0;
 
   /** How many of them the last checkpoint contained. */
   storedEvents = 0;
@@ -61,10 +92,37 @@
   private constructor(
     readonly item: jobs.Item,
     readonly index: number,
+    private readonly reservation: memories.Reservation,
   ) {}
 
-  static create(item: jobs.Item, index: number): ItemProgress {
-    return new ItemProgress(item, index);
+  /** @param reservation for the memory of its text */
+  static create(item: jobs.Item, index: number, reservation: memories.Reservation): ItemProgress {
+    return new ItemProgress(item, index, reservation);
+  }
+
+  get events(): readonly string[] {
+    return this.data;
+  }
+
+  /**
+   * Adds the next event to the text. Returns why that is not possible: the text is longer than any that the
+   * item can have, or the memory has no room for it.
+   */
+  addEvent(id: number, data: string): string | undefined {
+    const { maximumOutputTokens = Infinity } = this.item;
+    if (this.data.length >= maximumOutputTokens)
+      return `more events than the ${maximumOutputTokens} output tokens of the item`;
+    if (!this.reservation.tryGrow(estimateEventBytes(data))) return 'no memory for the text';
+    this.appendData(data);
+    this.lastEvent = id;
+    if (this.storedLength <= MAXIMUM_TEXT_BYTES) return undefined;
+    return `a text of more than ${MAXIMUM_TEXT_BYTES} bytes`;
+  }
+
+  private appendData(data: string): void {
+    this.data.push(data);
+    this.storedLength += Buffer.byteLength(JSON.stringify(data));
+    this.memoryBytes += estimateEventBytes(data);
   }
 
   /** The newest version of the weights that produced an event. */
@@ -74,7 +132,10 @@
 
   /** Discards the text, so that the next run generates it from its beginning. */
   reset(): void {
-    this.events = [];
+    this.reservation.shrink(this.memoryBytes);
+    this.data = [];
+    this.storedLength = 0;
+    this.memoryBytes = 0;
     this.storedEvents = 0;
     this.lastEvent = undefined;
     this.software = undefined;
@@ -86,7 +147,12 @@
   /** Continues an earlier text, unless weights older than `oldestVersion` produced part of it. */
   resumeFrom(text: records.PartialText, oldestVersion: number): void {
     if (text.versions.some((version) => version < oldestVersion)) return;
-    this.events = [...text.events];
+    text.events.forEach((data) => this.appendData(data));
+    this.reservation.grow(this.memoryBytes);
+    if (this.storedLength > MAXIMUM_TEXT_BYTES) {
+      this.reset();
+      return;
+    }
     this.lastEvent = text.events.length === 0 ? undefined : text.lastEvent;
     this.software = text.software;
     text.versions.forEach((version) => this.versions.add(version));
@@ -118,3 +184,7 @@
     };
   }
 }
+
+function estimateEventBytes(data: string): number {
+  return EVENT_BYTES + data.length * CHARACTER_BYTES;
+}
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -84,14 +84,12 @@
 }
 
 /** Fits a row of the store, which takes 64 KiB, with a margin. */
-const MAXIMUM_CHUNK_BYTES = 60_000;
+export const MAXIMUM_CHUNK_BYTES = 60_000;
 const POSITION_DIGITS = 6;
 const CHUNK_DIGITS = 2;
-const ITEM_CHUNK_DIGITS = 4;
 /** Positions have six digits. */
-const MAXIMUM_ITEMS = 10 ** POSITION_DIGITS - 1;
+export const MAXIMUM_ITEMS = 10 ** POSITION_DIGITS - 1;
 const POSITION_KEY_PATTERN = /^\d{6}\.\d{2}$/;
-const ITEMS_KEY_PATTERN = /^items\.\d{4}$/;
 
 /** Decodes the process that released a job; undefined when the notice does not name one. */
 export function decodeReleaser(row: stores.Row): JobOwner | undefined {
@@ -131,7 +129,7 @@
   return values.isText(vm) && values.isText(incarnation);
 }
 
-function isNumberOrNull(value: unknown): boolean {
+export function isNumberOrNull(value: unknown): boolean {
   return value === null || values.isNumber(value);
 }
 
@@ -220,73 +218,8 @@
   return isPartialText ? (value as PartialText) : undefined;
 }
 
-interface StoredScoring {
-  readonly id: string;
-  readonly host: string;
-  readonly path: string;
-  readonly body: string;
-}
-
-type StoredItem = Omit<jobs.Item, 'body' | 'scoring'> & {
-  readonly body: string;
-  readonly scoring?: StoredScoring;
-};
-
-/** Creates the rows that hold a job's items. */
-export function createItemRows(job: jobs.BatchJob): stores.RowWrite[] {
-  const encoded = encodeValue(job.items.map(encodeItem));
-  return splitIntoChunks(encoded).map((value, index) => ({
-    table: JOBS_TABLE,
-    partition: job.id,
-    key: `${ITEMS_PREFIX}${String(index).padStart(ITEM_CHUNK_DIGITS, '0')}`,
-    value,
-  }));
-}
-
-/** Decodes the items of a job; the rows must be in key order. Undefined when they cannot be decoded. */
-export function decodeItemRows(rows: readonly stores.Row[]): jobs.Item[] | undefined {
-  const chunks = rows.filter((row) => ITEMS_KEY_PATTERN.test(row.key)).map((row) => row.value);
-  const stored = values.parseJson(Buffer.concat(chunks));
-  if (!Array.isArray(stored) || !stored.every(isStoredItem)) return undefined;
-  return stored.map(decodeItem);
-}
-
-function isStoredItem(value: unknown): value is StoredItem {
-  const { id, path, headers, body, group, model, tokens, expectedOutputTokens, scoring } =
-    values.getFields(value);
-  return (
-    [id, path, body, group, model].every(values.isText) &&
-    values.isTextList(headers) &&
-    [tokens, expectedOutputTokens ?? null].every(isNumberOrNull) &&
-    (scoring === undefined || isStoredScoring(scoring))
-  );
-}
-
-function isStoredScoring(value: unknown): value is StoredScoring {
-  const { id, host, path, body } = values.getFields(value);
-  return [id, host, path, body].every(values.isText);
-}
-
-function encodeItem(item: jobs.Item): StoredItem {
-  const { scoring, ...rest } = item;
-  return {
-    ...rest,
-    body: item.body.toString('base64'),
-    ...(scoring ? { scoring: { ...scoring, body: scoring.body.toString('base64') } } : {}),
-  };
-}
-
-function decodeItem(stored: StoredItem): jobs.Item {
-  const { scoring } = stored;
-  return {
-    ...stored,
-    expectedOutputTokens: stored.expectedOutputTokens ?? undefined,
-    body: Buffer.from(stored.body, 'base64'),
-    scoring: scoring ? { ...scoring, body: Buffer.from(scoring.body, 'base64') } : undefined,
-  };
-}
-
-function splitIntoChunks(value: Buffer): Buffer[] {
+/** Splits a value into chunks that fit a row. */
+export function splitIntoChunks(value: Buffer): Buffer[] {
   const chunks: Buffer[] = [];
   for (let start = 0; start < value.length; start += MAXIMUM_CHUNK_BYTES) {
     chunks.push(value.subarray(start, start + MAXIMUM_CHUNK_BYTES));
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -48,9 +48,6 @@
 export class JobRunner {
   private readonly jobs = new Map<string, ownedJobs.OwnedJob>();
 
-  /** Ids of items that an earlier job left unfinished; the trainer waits for their groups. */
-  private readonly carriedOverItems = new Set<string>();
-
   private slowCheckTimer: NodeJS.Timeout | undefined;
 
   private isDispatchScheduled = false;
@@ -81,7 +78,12 @@
       () => this.errors.run(() => this.checkSlowReplicas()),
       SLOW_CHECK_INTERVAL_MS,
     );
-    job.listItems(progress.ItemPhase.Waiting).forEach((itemProgress) => {
+    this.addItems(job, job.listItems(progress.ItemPhase.Waiting));
+  }
+
+  /** Starts running further items of a job. */
+  addItems(job: ownedJobs.OwnedJob, items: readonly progress.ItemProgress[]): void {
+    items.forEach((itemProgress) => {
       if (itemProgress.isTextComplete) this.scoreItem(job, itemProgress);
     });
     this.scheduleDispatch();
@@ -90,17 +92,11 @@
   /** Stops running a job. */
   remove(job: ownedJobs.OwnedJob): void {
     this.jobs.delete(job.id);
-    job.items.forEach((_itemProgress, itemId) => this.carriedOverItems.delete(itemId));
     if (this.jobs.size > 0) return;
     clearInterval(this.slowCheckTimer);
     this.slowCheckTimer = undefined;
   }
 
-  /** Records that an earlier job left an item unfinished. */
-  recordCarriedOver(itemId: string): void {
-    this.carriedOverItems.add(itemId);
-  }
-
   /** Starts as many waiting items as replicas have slots for, after the current event loop turn. */
   scheduleDispatch(): void {
     if (this.isDispatchScheduled) return;
@@ -132,13 +128,14 @@
     if (route) job.recordRoute(route);
     if (!route || waitingItems.length === 0) return undefined;
     const estimateRemainingMs = this.createEstimator(route);
-    const groups = job.listGroups(this.carriedOverItems, estimateRemainingMs);
+    const groups = job.listGroups(estimateRemainingMs);
     return {
       id: job.id,
       dueMs: this.toMonotonic(job.head.submittedMs + route.resultsDueMs),
       priority: route.priority,
       wantedGroups: job.head.wantedGroups,
-      completeGroups: groups.filter((group) => group.unfinishedItems === 0).length,
+      completeGroups:
+        job.completeGroupCount + groups.filter((group) => group.unfinishedItems === 0).length,
       groups,
       waitingItems: waitingItems.map((itemProgress) => ({
         id: itemProgress.item.id,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -11,6 +11,8 @@
 import * as stores from '../types/store';
 import * as answers from './answer';
 import type * as jobRunners from './job-runner';
+import type * as itemProgresses from './item-progress';
+import * as jobLoaders from './job-loader';
 import * as jobStarters from './job-starter';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
@@ -52,7 +54,9 @@
 
   private readonly takingOver = new Set<string>();
 
-  private readonly savedTexts = partialTexts.PartialTexts.create();
+  private readonly savedTexts: partialTexts.PartialTexts;
+
+  private readonly loader: jobLoaders.JobLoader;
 
   private readonly starter: jobStarters.JobStarter;
 
@@ -62,6 +66,12 @@
   readonly results: resultReaders.ResultReader;
 
   private constructor(private readonly options: JobServiceOptions) {
+    this.savedTexts = partialTexts.PartialTexts.create(options.environment.memory);
+    this.loader = jobLoaders.JobLoader.create({
+      environment: options.environment,
+      store: options.store,
+      onText: (text) => this.savedTexts.saveText(text),
+    });
     this.starter = jobStarters.JobStarter.create({
       environment: options.environment,
       store: options.store,
@@ -97,22 +107,22 @@
   }
 
   /** Accepts a job; submitting it again has no effect. */
-  async submit(job: jobs.BatchJob): Promise<answers.Answer<undefined>> {
+  async submit(job: jobs.SubmittedJob): Promise<answers.Answer<undefined>> {
     const { environment, store } = this.options;
     if (this.owned.has(job.id)) return { isOk: true, value: undefined };
     if (this.isStopping) return { isOk: false, failure: plannedStops.createStopRefusal() };
     const startMs = environment.nowMs();
     const chosenGateway = gatewayChoices.chooseGateway(job.model, this.options.listWorkers());
-    const { outcome, head } = await store.create(job, chosenGateway);
+    const { outcome, head, items } = await store.create(job, chosenGateway);
     const tookMs = Math.round(environment.nowMs() - startMs);
-    const { id, model, step, oldestVersion, items } = job;
+    const { id, model, step, oldestVersion } = job;
     environment.log.info('job submitted', {
       job: id,
       outcome: outcome.status,
       model,
       step,
       oldestVersion,
-      items: items.length,
+      items: head.total,
       wantedGroups: job.wantedGroups,
       runner: head.owner?.vm,
       tookMs,
@@ -121,8 +131,8 @@
     environment.metrics.record('job_submission', {}, tookMs);
     if (outcome.status === stores.StoreStatus.Done) {
       const state = { head, revision: outcome.revision };
-      this.jobCache.set(id, { total: items.length, owner: head.owner });
-      if (store.isOwn(head)) await this.startSubmitted({ id, state, items, results: [] });
+      this.jobCache.set(id, { total: head.total, owner: head.owner });
+      if (store.isOwn(head)) await this.startSubmitted(id, state, items);
       return { isOk: true, value: undefined };
     }
     if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
@@ -205,34 +215,48 @@
       ? { status: stores.StoreStatus.Done, state }
       : await store.claim(id, state);
     if (claimed.status !== stores.StoreStatus.Done) return false;
-    const loaded = await store.load(id);
-    if (loaded === jobStores.UNREADABLE) return false;
-    const { items, partials } = loaded;
-    // Fewer results than were listed are no list to go on with, and a row beyond them is no result.
-    const results = loaded.results.slice(0, claimed.state.head.listed);
-    partials.forEach((text) => this.savedTexts.saveText(text));
-    return this.starter.start({ id, state: claimed.state, items, results });
+    const loaded = await this.loader.load(id, claimed.state.head);
+    return loaded !== undefined && this.start({ id, state: claimed.state, ...loaded });
   }
 
-  /** Starts a job that was submitted here; when that fails, the search finds it. */
-  private async startSubmitted(content: ownedJobs.OwnedJobContent): Promise<void> {
-    if (await this.starter.start(content)) return;
+  /** Starts a job that was submitted here; when its items are not held, the search finds and loads it. */
+  private async startSubmitted(
+    id: string,
+    state: jobStores.HeadState,
+    items: readonly jobs.Item[] | undefined,
+  ): Promise<void> {
+    const held = items && this.loader.hold(items);
+    if (held && (await this.start({ id, state, ...held }))) return;
     this.options.onNotStarted();
   }
 
+  private async start(content: ownedJobs.OwnedJobContent): Promise<boolean> {
+    const isStarted = await this.starter.start(content);
+    if (this.owned.get(content.id)?.results !== content.results) {
+      content.window.release();
+      content.results.release();
+    }
+    return isStarted;
+  }
+
   /** Runs a job that the starter has compared with its head. */
   private run(content: ownedJobs.OwnedJobContent): void {
     const { environment, store, runner } = this.options;
     const job = ownedJobs.OwnedJob.create(
-      { environment, store, onClosed: (closed) => this.onJobClosed(closed) },
+      {
+        environment,
+        store,
+        onClosed: (closed) => this.onJobClosed(closed),
+        onItemsLoaded: (loadedJob, items) => {
+          this.restoreTexts(loadedJob, items);
+          runner.addItems(loadedJob, items);
+        },
+      },
       content,
     );
-    this.jobCache.set(job.id, { total: content.items.length, owner: job.head.owner });
+    this.jobCache.set(job.id, { total: job.head.total, owner: job.head.owner });
     this.owned.set(job.id, job);
-    job.items.forEach((itemProgress) => {
-      if (this.savedTexts.restoreItem(itemProgress, job.head.oldestVersion))
-        runner.recordCarriedOver(itemProgress.item.id);
-    });
+    this.restoreTexts(job, [...job.items.values()]);
     if (job.isWhole) {
       job.close(ownedJobs.JobCloseReason.Finished);
       return;
@@ -241,23 +265,39 @@
     runner.add(job);
   }
 
+  private restoreTexts(
+    job: ownedJobs.OwnedJob,
+    items: readonly itemProgresses.ItemProgress[],
+  ): void {
+    items.forEach((itemProgress) => {
+      const isCarriedOver = this.savedTexts.restoreItem(itemProgress, job.head.oldestVersion);
+      Object.assign(itemProgress, { isCarriedOver });
+    });
+  }
+
   private onJobClosed(job: ownedJobs.OwnedJob): void {
     const { runner, environment, store, jobRetentionMs } = this.options;
+    const { id } = job;
     runner.remove(job);
-    const listed = new Set(job.results.map((result) => result.itemId));
     job.items.forEach((itemProgress) => {
-      if (!listed.has(itemProgress.item.id)) this.savedTexts.saveItem(itemProgress);
+      if (!itemProgress.isListed) this.savedTexts.saveItem(itemProgress);
     });
     const { Finished, Ended } = ownedJobs.JobCloseReason;
     if (job.closeReason !== Finished && job.closeReason !== Ended) {
-      this.owned.delete(job.id);
+      this.forget(id);
       return;
     }
-    environment.pause(CLOSED_JOB_RETENTION_MS).then(() => this.owned.delete(job.id));
+    environment.pause(CLOSED_JOB_RETENTION_MS).then(() => this.forget(id));
     const ageMs = store.nowMs - job.head.acceptedMs;
+    // The job itself is not held until then.
     environment
       .pause(Math.max(0, jobRetentionMs - ageMs) + DISCARD_MARGIN_MS)
-      .then(() => store.discard(job.id));
+      .then(() => store.discard(id));
+  }
+
+  private forget(id: string): void {
+    this.owned.get(id)?.results.release();
+    this.owned.delete(id);
   }
 
   /**
--- a/packages/gateway/src/jobs/job-starter.ts
+++ b/packages/gateway/src/jobs/job-starter.ts
@@ -68,7 +68,7 @@
     const { head } = state;
     if (head.isEnded || this.endedJobs.get(content.id)) return 'it was ended';
     if (!this.options.store.isOwn(head)) return 'another gateway owns it';
-    if (head.listed !== content.results.length) return 'its list has changed';
+    if (head.listed !== content.results.count) return 'its list has changed';
     return undefined;
   }
 }
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -2,12 +2,15 @@
  * Reads and changes batch jobs in the store. Every change of a job is conditional on the revision
  * at which the writer last saw the job's head row.
  */
+import * as runtime from '@azureworks/runtime';
 import type * as environments from '../types/environment';
 import type * as jobs from '../types/batch-job';
 import * as transactionRetries from '../store/transaction-retry';
 import * as oddRows from '../store/odd-rows';
 import * as stores from '../types/store';
 import * as boundedMaps from './bounded-map';
+import * as itemEncoders from './item-encoder';
+import * as itemSources from './item-source';
 import * as records from './job-record';
 
 /** The head of a job that is certainly in the store. */
@@ -19,11 +22,19 @@
   readonly revision: number;
 }
 
-/** A job as it is in the store. */
-export interface LoadedJob {
-  readonly items: readonly jobs.Item[];
+/** A job that was stored, or the outcome of the attempt. */
+export interface CreatedJob {
+  readonly outcome: stores.TransactionOutcome;
+  readonly head: AcceptedHead;
+  /** The items; undefined when there are too many to hold them all. */
+  readonly items: readonly jobs.Item[] | undefined;
+}
+
+/** Results from a position onwards. */
+export interface ResultRange {
   readonly results: readonly jobs.ItemResult[];
-  readonly partials: readonly records.PartialText[];
+  /** Whether further results may follow. */
+  readonly hasMore: boolean;
 }
 
 /** Returned by reads that failed: the store did not answer, or its rows cannot be decoded. */
@@ -34,6 +45,14 @@
 /** Limits of one transaction, below those of the store: 1 MB and 100 entries. */
 const MAXIMUM_TRANSACTION_BYTES = 600_000;
 const MAXIMUM_TRANSACTION_ROWS = 80;
+/** Full rows of items that one transaction stores. */
+const BATCH_ROWS = 10;
+
+/** Items of a new job that are held to be run at once; those of larger jobs are read from the store. */
+const MAXIMUM_HELD_ITEMS = 2048;
+const MAXIMUM_HELD_BYTES = 1024 * 1024;
+/** Rows of one read of results or texts; the store returns up to 1 MB. */
+const ROWS_PER_READ = 500;
 
 /** Jobs that are remembered for having rows that cannot be decoded. */
 const MAXIMUM_ODD_JOBS = 1000;
@@ -62,46 +81,42 @@
     return this.store.nowMs;
   }
 
-  /** Stores a new job, owned by the gateway that is to run it. Conflict means that it exists. */
-  async create(
-    job: jobs.BatchJob,
-    owner: records.JobOwner = this.self,
-  ): Promise<{ readonly outcome: stores.TransactionOutcome; readonly head: AcceptedHead }> {
-    const head: records.JobHead = {
-      owner: { vm: owner.vm, incarnation: owner.incarnation },
-      isEnded: false,
-      isFinished: false,
-      total: job.items.length,
-      listed: 0,
-      submittedMs: this.store.nowMs,
-      host: job.host,
-      path: job.path,
-      step: job.step,
-      model: job.model,
-      oldestVersion: job.oldestVersion,
-      wantedGroups: job.wantedGroups,
-      writeId: this.createWriteId(),
-    };
+  /**
+   * Stores a new job, owned by the gateway that is to run it. Conflict means that it exists. The items are
+   * encoded one by one, so that the job is not held in memory a second time.
+   */
+  async create(job: jobs.SubmittedJob, owner: records.JobOwner = this.self): Promise<CreatedJob> {
+    const encoder = itemEncoders.ItemEncoder.create(job.id);
+    const pacer = runtime.Pacer.create();
+    let held: jobs.Item[] | undefined = [];
+    let encodedBytes = 0;
+    const rows: stores.RowWrite[] = [];
+    for (const item of job.items) {
+      const itemRows = encoder.add(item);
+      encodedBytes += itemRows.reduce((sum, row) => sum + row.value.length, 0);
+      const isHeld = encoder.count <= MAXIMUM_HELD_ITEMS && encodedBytes <= MAXIMUM_HELD_BYTES;
+      if (isHeld) held?.push(item);
+      else held = undefined;
+      rows.push(...itemRows);
+      // Rows without a head are ignored and the last transaction writes the head, so a job that needs
+      // several transactions exists either completely or not at all.
+      const isStored = rows.length < BATCH_ROWS || (await this.storeRows(rows.splice(0)));
+      if (!isStored) return this.createUnstored(job, owner);
+      await pacer.rest();
+    }
+    rows.push(...encoder.end());
+    const head = this.createHead(job, owner, encoder.count);
     const openRow = { table: records.OPEN_TABLE, partition: job.id, key: records.OPEN_KEY };
     const notices =
       owner.vm === this.self.vm ? [] : [createNotice(job.id, records.Notice.Assigned, owner.vm)];
-    const rows = [
-      ...records.createItemRows(job),
+    const batches = splitIntoBatches([
+      ...rows,
       { ...openRow, value: Buffer.from('1') },
       ...notices,
-    ];
-    const batches = splitIntoBatches(rows);
+    ]);
     const lastBatch = batches.pop() ?? [];
-    // Rows without a head are ignored and the last transaction writes the head, so a job that needs
-    // several transactions exists either completely or not at all.
-    for (const writes of batches) {
-      const outcome = await this.settle({ conditions: [], writes, removals: [] }, undefined);
-      if (outcome.status !== stores.StoreStatus.Done) {
-        return {
-          outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' },
-          head: this.withAcceptance(head),
-        };
-      }
+    for (const batch of batches) {
+      if (!(await this.storeRows(batch))) return this.createUnstored(job, owner);
     }
     const headWrite = createHeadWrite(job.id, head);
     const conditions = [{ ...locateHeadRow(job.id), revision: 0 }];
@@ -109,12 +124,50 @@
       { conditions, writes: [headWrite, ...lastBatch], removals: [] },
       headWrite,
     );
+    const acceptedHead = this.withAcceptance(head);
     if (outcome.status !== stores.StoreStatus.Conflict || this.isHeadKnown(outcome.rows))
-      return { outcome, head: this.withAcceptance(head) };
+      return { outcome, head: acceptedHead, items: held };
     const reason = 'the row in place of the head cannot be decoded';
     return {
       outcome: { status: stores.StoreStatus.NotDone, reason },
-      head: this.withAcceptance(head),
+      head: acceptedHead,
+      items: undefined,
+    };
+  }
+
+  /** Stores rows of items, which count only once the head is stored; returns whether it did. */
+  private async storeRows(writes: readonly stores.RowWrite[]): Promise<boolean> {
+    const outcome = await this.settle({ conditions: [], writes, removals: [] }, undefined);
+    return outcome.status === stores.StoreStatus.Done;
+  }
+
+  private createUnstored(job: jobs.SubmittedJob, owner: records.JobOwner): CreatedJob {
+    return {
+      outcome: { status: stores.StoreStatus.NotDone, reason: 'items not stored' },
+      head: this.withAcceptance(this.createHead(job, owner, 0)),
+      items: undefined,
+    };
+  }
+
+  private createHead(
+    job: jobs.SubmittedJob,
+    owner: records.JobOwner,
+    total: number,
+  ): records.JobHead {
+    return {
+      owner: { vm: owner.vm, incarnation: owner.incarnation },
+      isEnded: false,
+      isFinished: false,
+      total,
+      listed: 0,
+      submittedMs: this.store.nowMs,
+      host: job.host,
+      path: job.path,
+      step: job.step,
+      model: job.model,
+      oldestVersion: job.oldestVersion,
+      wantedGroups: job.wantedGroups,
+      writeId: this.createWriteId(),
     };
   }
 
@@ -143,52 +196,74 @@
     return { head: this.withAcceptance(head), revision: row.revision };
   }
 
-  /** Reads the items of a job. */
-  async readItems(id: string): Promise<readonly jobs.Item[] | typeof UNREADABLE> {
-    const outcome = await this.store.read({
-      table: records.JOBS_TABLE,
-      partition: id,
-      from: records.ITEMS_PREFIX,
-      to: records.ITEMS_END,
-    });
-    if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
-    return records.decodeItemRows(outcome.rows) ?? this.reportOdd(id, outcome.rows);
+  /** The items of a job, to be read in order. */
+  openItems(id: string): itemSources.ItemSource {
+    return itemSources.ItemSource.create(
+      {
+        read: (range) => this.store.read(range),
+        onOddRows: (rows) => this.reportOdd(id, rows),
+      },
+      id,
+    );
+  }
+
+  /** Finds an item of a job; undefined when the job has no such item. */
+  async findItem(id: string, itemId: string): Promise<jobs.Item | undefined | typeof UNREADABLE> {
+    const source = this.openItems(id);
+    while (!source.isDone) {
+      const items = await source.next();
+      if (!items) return UNREADABLE;
+      const item = items.find((candidate) => candidate.id === itemId);
+      if (item) return item;
+    }
+    return undefined;
   }
 
   /**
-   * Reads the results of a job from a position onwards. The list has no gaps, so it ends before a position
-   * that is missing. It cannot be read from a position that cannot be decoded.
+   * Reads results of a job from a position onwards, as many as one read returns. The list has no gaps, so
+   * it ends before a position that is missing. It cannot be read from a position that cannot be decoded.
    */
-  async readResults(
-    id: string,
-    position: number,
-  ): Promise<readonly jobs.ItemResult[] | typeof UNREADABLE> {
-    const outcome = await this.store.read({
+  async readResults(id: string, position: number): Promise<ResultRange | typeof UNREADABLE> {
+    const range = {
       table: records.RESULTS_TABLE,
       partition: id,
       from: records.createPositionKey(position),
-    });
+    };
+    let outcome = await this.store.read({ ...range, maximumRows: ROWS_PER_READ });
     if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
-    const decoded = records.decodePositionRows(outcome.rows, records.decodeResult);
+    const lastKey = outcome.rows[outcome.rows.length - 1]?.key ?? '';
+    // The read may have ended within the last result.
+    const lastPosition = outcome.hasMore ? (lastKey.split('.')[0] ?? '') : '';
+    const isSingle = lastPosition === range.from;
+    if (isSingle)
+      outcome = await this.store.read({ ...range, to: records.createPositionKey(position + 1) });
+    if (outcome.status !== stores.StoreStatus.Done) return UNREADABLE;
+    const rows = outcome.rows.filter(
+      (row) => isSingle || lastPosition === '' || row.key < lastPosition,
+    );
+    const decoded = records.decodePositionRows(rows, records.decodeResult);
     const { entries, undecodablePositions } = decoded;
     decoded.oddRows.forEach((row) => this.oddRows.report(row, 'is no result'));
     const gap = entries.findIndex((entry, index) => entry.position !== position + index);
     const results = (gap < 0 ? entries : entries.slice(0, gap)).map((entry) => entry.value);
-    return undecodablePositions.includes(position) ? this.reportOdd(id, []) : results;
+    if (undecodablePositions.includes(position)) return this.reportOdd(id, []);
+    return { results, hasMore: gap < 0 && lastPosition !== '' && results.length > 0 };
   }
 
-  /** Loads everything that is needed to continue a job. */
-  async load(id: string): Promise<LoadedJob | typeof UNREADABLE> {
-    const [items, results, partials] = await Promise.all([
-      this.readItems(id),
-      this.readResults(id, 0),
-      this.store.read({ table: records.PARTIALS_TABLE, partition: id }),
-    ]);
-    if (items === UNREADABLE || results === UNREADABLE) return UNREADABLE;
-    if (partials.status !== stores.StoreStatus.Done) return UNREADABLE;
-    const texts = records.decodePositionRows(partials.rows, records.decodePartialText);
-    texts.oddRows.forEach((row) => this.oddRows.report(row, 'the item begins anew'));
-    return { items, results, partials: texts.entries.map((entry) => entry.value) };
+  /** Passes the incomplete texts of a job on; returns false when they cannot be read. */
+  async readPartials(id: string, onText: (text: records.PartialText) => void): Promise<boolean> {
+    let from = '';
+    for (;;) {
+      const range = { table: records.PARTIALS_TABLE, partition: id, from };
+      const outcome = await this.store.read({ ...range, maximumRows: ROWS_PER_READ });
+      if (outcome.status !== stores.StoreStatus.Done) return false;
+      const texts = records.decodePositionRows(outcome.rows, records.decodePartialText);
+      texts.oddRows.forEach((row) => this.oddRows.report(row, 'the item begins anew'));
+      texts.entries.forEach((entry) => onText(entry.value));
+      const last = outcome.rows[outcome.rows.length - 1];
+      if (!outcome.hasMore || !last) return true;
+      from = `${last.key}\0`;
+    }
   }
 
   /** Lists the ids of all jobs that still have to be run. */
@@ -262,24 +337,29 @@
 
   /** Removes all rows of a job that callers can no longer read; the head is removed last. */
   async discard(id: string): Promise<void> {
-    const tables = [
-      records.RESULTS_TABLE,
-      records.PARTIALS_TABLE,
-      records.NOTICES_TABLE,
-      records.JOBS_TABLE,
-    ];
-    for (const table of tables) {
-      const outcome = await this.store.read({ table, partition: id });
-      const rows = outcome.status === stores.StoreStatus.Done ? [...outcome.rows].reverse() : [];
-      for (let start = 0; start < rows.length; start += MAXIMUM_TRANSACTION_ROWS) {
-        const removals = rows.slice(start, start + MAXIMUM_TRANSACTION_ROWS);
-        const removalOutcome = await this.store.transact({ conditions: [], writes: [], removals });
-        this.environment.metrics.count(
-          'rows_discarded',
-          { outcome: removalOutcome.status },
-          removals.length,
-        );
-      }
+    const { RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE, JOBS_TABLE } = records;
+    for (const table of [RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE]) {
+      await this.discardRows({ table, partition: id });
+    }
+    const partition = id;
+    const itemRange = { from: records.ITEMS_PREFIX, to: records.ITEMS_END };
+    const areItemsRemoved = await this.discardRows({ table: JOBS_TABLE, partition, ...itemRange });
+    if (areItemsRemoved) await this.discardRows({ table: JOBS_TABLE, partition });
+  }
+
+  /** Removes the rows of a range, a few at a time; returns whether none is left. */
+  private async discardRows(range: stores.RowRange): Promise<boolean> {
+    for (;;) {
+      const maximumRows = MAXIMUM_TRANSACTION_ROWS;
+      const outcome = await this.store.read({ ...range, maximumRows });
+      if (outcome.status !== stores.StoreStatus.Done) return false;
+      const removals = outcome.rows;
+      if (removals.length === 0) return true;
+      const removed = await this.store.transact({ conditions: [], writes: [], removals });
+      const { status } = removed;
+      this.environment.metrics.count('rows_discarded', { outcome: status }, removals.length);
+      if (status !== stores.StoreStatus.Done) return false;
+      if (!outcome.hasMore) return true;
     }
   }
 
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -12,8 +12,10 @@
 import type * as configurations from '../types/configuration';
 import type * as itemOrder from './item-order';
 import * as progress from './item-progress';
+import * as itemWindows from './item-window';
 import type * as records from './job-record';
 import * as jobStores from './job-store';
+import type * as listedResults from './listed-results';
 
 /** Why this gateway no longer runs a job. */
 export const JobCloseReason = {
@@ -33,6 +35,8 @@
   readonly store: jobStores.JobStore;
   /** Called once, when the job is no longer run here. */
   readonly onClosed: (job: OwnedJob, closeReason: JobCloseReason) => void;
+  /** Called with further items of a job that is not held as a whole. */
+  readonly onItemsLoaded: (job: OwnedJob, items: readonly progress.ItemProgress[]) => void;
 }
 
 /** Why an item is done, with the limits that applied. */
@@ -47,8 +51,8 @@
 export interface OwnedJobContent {
   readonly id: string;
   readonly state: jobStores.HeadState;
-  readonly items: readonly jobs.Item[];
-  readonly results: readonly jobs.ItemResult[];
+  readonly window: itemWindows.ItemWindow;
+  readonly results: listedResults.ListedResults;
 }
 
 /** Limits after which an item may be given up. */
@@ -59,14 +63,21 @@
 const MINIMUM_CHECKPOINT_EVENTS = 12;
 /** Backoff after an append that the store did not confirm. */
 const APPEND_BACKOFF_MS = 150;
+/** Backoff after items that could not be read, or did not fit the memory. */
+const LOAD_BACKOFF_MS = 500;
 
 /** A batch job that this gateway runs. */
 export class OwnedJob {
   readonly id: string;
 
-  readonly items: ReadonlyMap<string, progress.ItemProgress>;
+  readonly results: listedResults.ListedResults;
 
-  readonly results: jobs.ItemResult[];
+  private readonly window: itemWindows.ItemWindow;
+
+  /** Whether listed items make room for further ones. */
+  private readonly isPartial: boolean;
+
+  private isLoading = false;
 
   closeReason: JobCloseReason | undefined;
 
@@ -91,21 +102,20 @@
     this.id = content.id;
     this.errors = errorGuards.ErrorGuard.create(options.environment, 'batch job');
     this.state = content.state;
-    this.results = [...content.results];
-    const listed = new Set(content.results.map((result) => result.itemId));
-    this.items = new Map(
-      content.items.map((item, index) => {
-        const itemProgress = progress.ItemProgress.create(item, index);
-        if (listed.has(item.id)) itemProgress.phase = progress.ItemPhase.Done;
-        return [item.id, itemProgress];
-      }),
-    );
+    this.results = content.results;
+    this.window = content.window;
+    this.isPartial = content.window.isPartial;
   }
 
   static create(options: OwnedJobOptions, content: OwnedJobContent): OwnedJob {
     return new OwnedJob(options, content);
   }
 
+  /** The items that are held here: all of them, or the next ones of a large job. */
+  get items(): ReadonlyMap<string, progress.ItemProgress> {
+    return this.window.items;
+  }
+
   get head(): jobStores.HeadState['head'] {
     return this.state.head;
   }
@@ -134,7 +144,7 @@
 
   /** Whether the list has the results of all items, so that nothing can be missing from it. */
   get isWhole(): boolean {
-    return this.results.length === this.head.total;
+    return this.results.count === this.head.total;
   }
 
   /** Lists the items that are in one of the phases. */
@@ -142,9 +152,13 @@
     return [...this.items.values()].filter((itemProgress) => phases.includes(itemProgress.phase));
   }
 
+  /** Groups that are complete and not listed by `listGroups` any more. */
+  get completeGroupCount(): number {
+    return this.window.completeGroupCount;
+  }
+
   /** Lists the groups of the job with their progress. */
   listGroups(
-    carriedOverItems: ReadonlySet<string>,
     estimateRemainingMs: (itemProgress: progress.ItemProgress) => number,
   ): itemOrder.GroupProgress[] {
     const groups = new Map<
@@ -159,7 +173,7 @@
         isCarriedOver: false,
       };
       groups.set(name, group);
-      if (carriedOverItems.has(itemProgress.item.id)) group.isCarriedOver = true;
+      if (itemProgress.isCarriedOver) group.isCarriedOver = true;
       if (itemProgress.phase === progress.ItemPhase.Done) return;
       group.unfinishedItems += 1;
       group.longestRemainingMs = Math.max(
@@ -223,6 +237,7 @@
     this.close(JobCloseReason.Released);
     // Collected after the runs are aborted, as a text must not grow while its fields are read.
     const partials = this.collectPartials(1);
+    this.window.release();
     const outcome = await this.options.store.release(this.id, this.state, partials);
     this.options.environment.log.info('job released', {
       job: this.id,
@@ -248,12 +263,14 @@
     this.options.environment.log.info('job closed', {
       job: this.id,
       closing: closeReason,
-      listed: this.results.length,
+      listed: this.results.count,
       total: this.head.total,
       ageMs: Math.round(this.options.store.nowMs - this.head.submittedMs),
     });
     this.wakeReaders();
     this.options.onClosed(this, closeReason);
+    // A release still saves the texts.
+    if (closeReason !== JobCloseReason.Released) this.window.release();
   }
 
   /** Collects texts with at least `minimumNewEvents` unsaved events, and marks them as saved. */
@@ -309,23 +326,48 @@
   }
 
   private onResultsAppended(state: jobStores.HeadState): void {
-    const count = state.head.listed - this.results.length;
+    const count = state.head.listed - this.results.count;
     const listed = this.pendingResults.splice(0, count);
     this.state = state;
-    this.results.push(...listed);
+    this.results.append(listed);
     this.options.environment.metrics.count('results_listed', {}, count);
     this.options.environment.log.info('results listed', {
       job: this.id,
       items: listed.map((result) => result.itemId).join(','),
-      listed: this.results.length,
+      listed: this.results.count,
       total: state.head.total,
       revision: state.revision,
       ageMs: Math.round(this.options.store.nowMs - state.head.submittedMs),
     });
+    listed.forEach(({ itemId }) => {
+      const itemProgress = this.items.get(itemId);
+      if (itemProgress) itemProgress.isListed = true;
+      if (itemProgress && this.isPartial) this.window.remove(itemProgress);
+    });
+    if (this.isPartial && !this.isLoading) this.loadItems();
     if (state.head.isFinished) this.close(JobCloseReason.Finished);
     else this.wakeReaders();
   }
 
+  /** Reads further items in place of those that are listed. */
+  private async loadItems(): Promise<void> {
+    const { environment, onItemsLoaded } = this.options;
+    this.isLoading = true;
+    while (this.isOpen && this.window.needsItems) {
+      const loaded = await this.errors.settle(() => this.window.fill(), undefined);
+      if (!this.isOpen) this.window.release();
+      if (this.isOpen && loaded && loaded.added.length > 0) onItemsLoaded(this, loaded.added);
+      if (loaded?.end === itemWindows.FillEnd.Filled) break;
+      environment.log.warn('further items not read, trying again', {
+        job: this.id,
+        reason: loaded?.end,
+        held: this.items.size,
+      });
+      await environment.pause(LOAD_BACKOFF_MS);
+    }
+    this.isLoading = false;
+  }
+
   /** After a conflict, another writer has changed the job: its head tells how to continue. */
   private async resolveConflict(): Promise<boolean> {
     const state = await this.options.store.readHead(this.id);
@@ -349,7 +391,7 @@
       revision: state?.revision,
       knownRevision,
       storedResults: state?.head.listed,
-      listed: this.results.length,
+      listed: this.results.count,
     });
     this.adopt(state);
   }
@@ -357,7 +399,7 @@
   /** Continues from a head that another writer may have written, or closes the job. */
   private adopt(state: jobStores.HeadState | undefined): void {
     if (!state || state.head.isEnded) this.close(JobCloseReason.Ended);
-    else if (this.options.store.isOwn(state.head) && state.head.listed === this.results.length)
+    else if (this.options.store.isOwn(state.head) && state.head.listed === this.results.count)
       this.state = state;
     else this.close(JobCloseReason.Lost);
   }
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -3,11 +3,13 @@
  * again in a later job, which continues the texts if their versions of the weights are acceptable.
  * The texts are held in memory only: without one, an item is generated from its beginning.
  */
+import type * as memories from '../types/memory';
 import * as progress from './item-progress';
 import type * as records from './job-record';
 import * as boundedMaps from './bounded-map';
 
 interface SavedText {
+  readonly reservation: memories.Reservation;
   readonly text: records.PartialText;
   readonly isComplete: boolean;
   readonly score: string | undefined;
@@ -15,23 +17,28 @@
 }
 
 const MAXIMUM_TEXTS = 1000;
+/** Memory of a text without its events, and of an event without its data, in bytes. */
+const TEXT_BYTES = 500;
+const EVENT_BYTES = 100;
+/** Each character of an event takes up to two bytes. */
+const CHARACTER_BYTES = 2;
 
 /** The saved texts of one gateway, by item. */
 export class PartialTexts {
-  private readonly savedTexts = boundedMaps.BoundedMap.create<SavedText>(MAXIMUM_TEXTS);
+  private readonly savedTexts = boundedMaps.BoundedMap.create<SavedText>(
+    MAXIMUM_TEXTS,
+    ({ reservation }) => reservation.release(),
+  );
 
-  static create(): PartialTexts {
-    return new PartialTexts();
+  private constructor(private readonly memory: memories.Memory) {}
+
+  static create(memory: memories.Memory): PartialTexts {
+    return new PartialTexts(memory);
   }
 
   /** Saves a text that another gateway left in the store. */
   saveText(text: records.PartialText): void {
-    this.savedTexts.set(text.itemId, {
-      text,
-      isComplete: false,
-      score: undefined,
-      scoringId: undefined,
-    });
+    this.save({ text, isComplete: false, score: undefined, scoringId: undefined });
   }
 
   /** Saves the text and the score of an item. */
@@ -39,12 +46,15 @@
     if (itemProgress.events.length === 0) return;
     const { isTextComplete, score, item } = itemProgress;
     const text = itemProgress.toPartialText();
-    this.savedTexts.set(item.id, {
-      text,
-      isComplete: isTextComplete,
-      score,
-      scoringId: item.scoring?.id,
-    });
+    this.save({ text, isComplete: isTextComplete, score, scoringId: item.scoring?.id });
+  }
+
+  /** Saves a text unless the memory has no room for it. */
+  private save(saved: Omit<SavedText, 'reservation'>): void {
+    const { itemId } = saved.text;
+    this.savedTexts.delete(itemId);
+    const reservation = this.memory.tryTake(estimateBytes(saved.text));
+    if (reservation) this.savedTexts.set(itemId, { ...saved, reservation });
   }
 
   /** Restores the saved text of an item that is not done; returns whether there was one. */
@@ -62,3 +72,8 @@
     return true;
   }
 }
+
+function estimateBytes(text: records.PartialText): number {
+  const eventBytes = text.events.map((data) => EVENT_BYTES + data.length * CHARACTER_BYTES);
+  return eventBytes.reduce((sum, bytes) => sum + bytes, TEXT_BYTES);
+}
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -89,11 +89,10 @@
       const remainingMs = endMs - this.options.environment.nowMs();
       const isLastRead = remainingMs <= 0 || signal.aborted || this.options.isStopping();
       const owned = this.options.findOwnedJob(id);
-      if (owned && (owned.results.length > position || owned.isWhole)) {
-        const results = owned.results.slice(position);
-        return { isOk: true, value: { total: owned.head.total, results } };
-      }
-      if (owned?.isOpen && !isLastRead) await owned.waitForResult(remainingMs, signal);
+      const held = owned?.results.list(position);
+      if (owned && held && (held.length > 0 || owned.isWhole))
+        return { isOk: true, value: { total: owned.head.total, results: held } };
+      if (owned?.isOpen && held && !isLastRead) await owned.waitForResult(remainingMs, signal);
       else {
         const stored = await this.readStored(id, position);
         if (!stored.isOk || stored.value.results.length > 0) return stored;
@@ -115,7 +114,7 @@
   ): Promise<boolean> {
     const job = this.options.findOwnedJob(id);
     if (!job) return false;
-    if (job.results.length > position) return true;
+    if (job.results.count > position) return true;
     // A closed job gets no further results here; `false` makes the reader wait before it retries.
     if (!job.isOpen) return false;
     await job.waitForResult(waitMs, signal);
@@ -134,10 +133,9 @@
     if (!state) return answers.fail('unknown-job');
     if (state.head.isEnded) return answers.fail('unknown-item');
     if (ownedItem) return { isOk: true, value: ownedItem.body };
-    const items = await this.options.store.readItems(id);
-    if (items === jobStores.UNREADABLE)
+    const item = await this.options.store.findItem(id, itemId);
+    if (item === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
-    const item = items.find((candidate) => candidate.id === itemId);
     return item ? { isOk: true, value: item.body } : answers.fail('unknown-item');
   }
 
@@ -147,7 +145,7 @@
       job: id,
       position,
       ...(owned && {
-        listedHere: owned.results.length,
+        listedHere: owned.results.count,
         revision: owned.revision,
         closing: owned.closeReason,
       }),
@@ -189,9 +187,10 @@
     }
     // The results are read after it is known that no more are listed.
     const isFinal = cachedJob.isFinal === true;
-    const results = await store.readResults(id, position);
-    if (results === jobStores.UNREADABLE)
+    const range = await store.readResults(id, position);
+    if (range === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
+    const { results } = range;
     return { isOk: true, value: { total: cachedJob.total, results, isFinal } };
   }
 }
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -148,9 +148,15 @@
     if (itemProgress.lastEvent === undefined) {
       itemProgress.software = softwares.identifySoftware(tracked.replica);
     }
-    itemProgress.lastEvent = event.id;
-    itemProgress.events.push(event.data);
     const nowMs = environment.nowMs();
+    const excess = itemProgress.addEvent(event.id, event.data);
+    if (excess !== undefined) {
+      // A text without end is none that another replica should go on with.
+      itemProgress.reset();
+      tracked.health.eject(nowMs);
+      this.abortRun(excess);
+      return;
+    }
     if (itemProgress.runEvents > 0) tracked.health.recordDuration(nowMs - itemProgress.lastEventMs);
     itemProgress.runEvents += 1;
     itemProgress.lastEventMs = nowMs;
--- a/packages/gateway/src/types/batch-job.ts
+++ b/packages/gateway/src/types/batch-job.ts
@@ -24,6 +24,8 @@
   readonly tokens: number;
   /** The caller's estimate of the number of output tokens, if it gave one. */
   readonly expectedOutputTokens: number | undefined;
+  /** The most output tokens that its text may have, if the caller told; each event has at least one. */
+  readonly maximumOutputTokens?: number | undefined;
   readonly scoring: ScoringCall | undefined;
 }
 
@@ -42,6 +44,9 @@
   readonly items: readonly Item[];
 }
 
+/** A batch job as it is submitted. Its items are decoded each time that they are listed, one by one. */
+export type SubmittedJob = Omit<BatchJob, 'items'> & { readonly items: Iterable<Item> };
+
 /** How an item ended. */
 export const ResultState = { Completed: 'completed', Terminated: 'terminated' } as const;
 export type ResultState = (typeof ResultState)[keyof typeof ResultState];
--- a/packages/gateway/src/types/environment.ts
+++ b/packages/gateway/src/types/environment.ts
@@ -2,6 +2,7 @@
  * What all tasks of a gateway share: its identity, clocks, randomness, log and metrics.
  */
 import type * as runtime from '@azureworks/runtime';
+import type * as memories from './memory';
 
 /** Identity and services of the process that runs the gateway. */
 export interface Environment {
@@ -14,6 +15,8 @@
   readonly capacity: number;
   /** Address at which peers reach this process. */
   readonly peerAddress: string;
+  /** The memory that open work may hold. */
+  readonly memory: memories.Memory;
   readonly log: runtime.Log;
   readonly metrics: runtime.Metrics;
   /** Monotonic clock, in milliseconds. */
--- a/packages/gateway/src/types/store.ts
+++ b/packages/gateway/src/types/store.ts
@@ -68,6 +68,8 @@
   readonly partition: string;
   readonly from?: string;
   readonly to?: string;
+  /** How many of the first rows to read at most; the store may return fewer. */
+  readonly maximumRows?: number;
 }
 
 /** The outcome of a read; the rows are a consistent snapshot. */
@@ -76,6 +78,8 @@
       readonly status: typeof StoreStatus.Done;
       readonly rows: readonly Row[];
       readonly revision: number;
+      /** Whether the range has further rows, as `maximumRows` limited the read. */
+      readonly hasMore?: boolean;
     }
   | StoreFailure;
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
 export { SilentLog } from './core/silent-log';
 export { type Labels, Metrics } from './core/metrics';
 export { StateMachine, type TransitionListener, type Transitions } from './core/machine';
+export { Pacer } from './core/pacer';
 export { pause } from './core/pause';
 export { handlePendingEvents } from './core/pending-events';
 export { Mailbox, type MessageHandler } from './core/mailbox';
--- a/packages/standins/src/rows/memory-store.ts
+++ b/packages/standins/src/rows/memory-store.ts
@@ -84,7 +84,10 @@
     const failure = await this.simulateFailure();
     if (failure) return { ...failure, status: StoreStatus.NotDone };
     const rows = this.listRows((row) => isWithin(row, range));
-    return { status: StoreStatus.Done, rows, revision: this.revision };
+    const { maximumRows = Infinity } = range;
+    const hasMore = rows.length > maximumRows;
+    const read = rows.slice(0, maximumRows);
+    return { status: StoreStatus.Done, rows: read, revision: this.revision, hasMore };
   }
 
   async listPartitions(table: string): Promise<gateway.PartitionsOutcome> {
