A planned stop passes no request on late that it might cut

Cause: the stop judged a stream by the longest of the last 32 of its route; one of a long tail was passed on and could not end before the last answers.

Change: from 3 s after the beginning on, a stream or a request that must not be repeated is passed on only if its deadline or the timeout of its route ends before the last answers; otherwise it is refused at once as not run. Before that, streams are also judged by the longest of thousands. What has begun here still goes on at another replica. Other paths: idempotent requests are answered at the last moment in any case; the daemon refuses all requests once its stop has begun.

--- a/packages/gateway/__tests__/planned-stop.test.ts
+++ b/packages/gateway/__tests__/planned-stop.test.ts
@@ -16,6 +16,11 @@
 /** The share of the grace period in which callers are answered. */
 const LAST_ANSWER_MS = 850;
 const USUAL_MS = 200;
+const LONG_GRACE_PERIOD_MS = 8000;
+const LONG_STREAM_MS = 5000;
+/** Streams that are sent later than this after the signal must not be cut. */
+const EXCUSED_MS = 3000;
+const DEADLINE_MS = 10_000;
 
 interface Result {
   readonly reply: streamCalls.StreamCallResult['reply'];
@@ -119,6 +124,16 @@
     return reply.failure;
   }
 
+  /** Has the stop begin some time ago, with a long grace period. */
+  async function beginLongStop(agoMs: number): Promise<void> {
+    stop.begin(LONG_GRACE_PERIOD_MS);
+    await time.advance(agoMs);
+  }
+
+  function mayPassOn(route: gateway.Route, deadlineMs: number): boolean {
+    return stop.createRequestStop(route, time.nowMs() + deadlineMs).mayPassOn();
+  }
+
   const REFUSAL = { code: 'draining', verdict: 'not-run', retryAfterMs: 0 };
 
   it('refuses a request of unknown duration whose deadline is after the last answers', async () => {
@@ -195,4 +210,37 @@
     expect(result.reply).toEqual({ kind: 'streamed', isWhole: true });
     expect(replicas.runs).toHaveLength(2);
   });
+
+  // A stream of the long tail was passed on late in a stop, as the latest ones were short, and cut.
+  it('passes no stream on late that it might have to cut', async () => {
+    stop.recordDuration(stream, USUAL_MS);
+    await beginLongStop(EXCUSED_MS + 100);
+    expect(mayPassOn(stream, DEADLINE_MS)).toBe(false);
+    expect(mayPassOn(stream, 1000)).toBe(true);
+  });
+
+  it('passes no request on late that must not be repeated and might not be answered', async () => {
+    const once = { ...plain, kind: gateway.RouteKind.NonIdempotent };
+    stop.recordDuration(once, USUAL_MS);
+    stop.recordDuration(plain, USUAL_MS);
+    await beginLongStop(EXCUSED_MS + 100);
+    expect(mayPassOn(once, DEADLINE_MS)).toBe(false);
+    expect(mayPassOn(plain, DEADLINE_MS)).toBe(true);
+  });
+
+  it('judges early streams by the longest of many, not of the latest only', async () => {
+    stop.recordDuration(stream, LONG_STREAM_MS);
+    Array.from({ length: 100 }).forEach(() => stop.recordDuration(stream, USUAL_MS));
+    await beginLongStop(1000);
+    expect(mayPassOn(stream, DEADLINE_MS)).toBe(true);
+    await time.advance(1500);
+    expect(mayPassOn(stream, DEADLINE_MS)).toBe(false);
+  });
+
+  it('resumes a stream late that has begun here', async () => {
+    stop.recordDuration(stream, USUAL_MS);
+    await beginLongStop(EXCUSED_MS + 100);
+    const requestStop = stop.createRequestStop(stream, time.nowMs() + DEADLINE_MS);
+    expect(requestStop.mayPassOn(USUAL_MS / 2)).toBe(true);
+  });
 });
--- a/packages/gateway/src/requests/planned-stop.ts
+++ b/packages/gateway/src/requests/planned-stop.ts
@@ -20,7 +20,7 @@
 
 /**
  * A stream that has begun cannot be replaced by a failure any more, so it needs more time than the
- * longest recent one took.
+ * longest recent one took, and no less than the longest of many.
  */
 const STREAM_DURATION_FACTOR = 1.5;
 
@@ -86,25 +86,30 @@
   ): boolean {
     const nowMs = this.nowMs();
     const limitMs = Math.max(0, deadlineAtMs - nowMs);
-    const usualMs = this.durations.getLongestMs(route.name) ?? limitMs;
     return this.deadline.allows(
       nowMs,
-      Math.min(limitMs, computeExpectedMs(route, usualMs, elapsedMs)),
+      Math.min(limitMs, this.computeExpectedMs(route, limitMs, elapsedMs)),
     );
   }
+
+  private computeExpectedMs(
+    route: configurations.Route,
+    limitMs: number,
+    elapsedMs: number | undefined,
+  ): number {
+    const usualMs = this.durations.getLongestMs(route.name) ?? limitMs;
+    // What has begun is better continued than cut now.
+    if (elapsedMs !== undefined) return Math.max(0, usualMs - elapsedMs);
+    const { Streaming, NonIdempotent } = configurations.RouteKind;
+    const isLost = route.kind === Streaming || route.kind === NonIdempotent;
+    if (isLost && this.deadline.requiresCertainty(this.nowMs())) return limitMs;
+    if (route.kind !== Streaming) return usualMs;
+    const longestMs = this.durations.getLongestOfManyMs(route.name) ?? limitMs;
+    return Math.max(usualMs * STREAM_DURATION_FACTOR, longestMs);
+  }
 }
 
 /** The refusal of a request that did not run; another gateway takes it at once. */
 export function createStopRefusal(): decisions.Failure {
   return decisions.createFailure('draining', { retryAfterMs: 0 });
 }
-
-function computeExpectedMs(
-  route: configurations.Route,
-  usualMs: number,
-  elapsedMs: number | undefined,
-): number {
-  if (elapsedMs !== undefined) return Math.max(0, usualMs - elapsedMs);
-  const isStream = route.kind === configurations.RouteKind.Streaming;
-  return isStream ? usualMs * STREAM_DURATION_FACTOR : usualMs;
-}
