Items of a large job that are done while others are read are not listed again

A probe with jobs of 32 items of 1 MB listed an item at two positions: reading further items told which it had added only after its last read, and an item that was done by then was scored and listed once more.

Change: items are passed on with the read that brought them, only waiting ones, and an item that is done is not scored. A large job that is submitted again is found by its head before any row is written.

Evidence: 'is listed once when the reads of its items take long' failed before and passes now.

--- a/packages/gateway/__tests__/large-jobs.test.ts
+++ b/packages/gateway/__tests__/large-jobs.test.ts
@@ -9,6 +9,9 @@
 /** The events of an item, and how long the replicas take for one. */
 const EVENTS = 2;
 const EVENT_MS = 1;
+const SLOW_READ_MS = 300;
+/** So that reading what a gateway holds of the job takes many reads. */
+const LONG_BODY_BYTES = 3000;
 
 async function readAll(from: gateway.Gateway, id: string): Promise<gateway.ItemResult[]> {
   const results: gateway.ItemResult[] = [];
@@ -39,6 +42,7 @@
 
   afterEach(async () => {
     await system.stopAll();
+    jest.restoreAllMocks();
     jest.useRealTimers();
   });
 
@@ -63,6 +67,42 @@
     expect(listed.sort()).toEqual(job.items.map(({ id }) => id).sort());
   });
 
+  // Items that were done while the reads after theirs were in flight were scored and listed again.
+  it('is listed once when the reads of its items take long', async () => {
+    const runner = await system.start('vm-1');
+    const read = system.store.read.bind(system.store);
+    jest.spyOn(system.store, 'read').mockImplementation(async (range) => {
+      const outcome = await read(range);
+      if (range.from?.startsWith('items')) await time.pause(SLOW_READ_MS);
+      return outcome;
+    });
+    const transact = system.store.transact.bind(system.store);
+    jest.spyOn(system.store, 'transact').mockImplementation(async (transaction) => {
+      if (transaction.writes.some(({ table }) => table === 'results'))
+        await time.pause(SLOW_READ_MS);
+      return transact(transaction);
+    });
+    const job = createJob();
+    const items = job.items.map((item) => ({ ...item, body: Buffer.alloc(LONG_BODY_BYTES) }));
+    expect((await time.settle(runner.jobs.submit({ ...job, items }))).isOk).toBe(true);
+    await time.advance(5000);
+    await runToEnd(runner);
+    const listed = (await readAll(runner, 'job')).map(({ itemId }) => itemId);
+    expect(listed.sort()).toEqual(job.items.map(({ id }) => id).sort());
+  });
+
+  it('is accepted again without a write', async () => {
+    const runner = await system.start('vm-1');
+    const other = await system.start('vm-2');
+    const job = createJob();
+    const items = job.items.map((item) => ({ ...item, body: Buffer.alloc(LONG_BODY_BYTES) }));
+    expect((await time.settle(runner.jobs.submit({ ...job, items }))).isOk).toBe(true);
+    const transact = jest.spyOn(system.store, 'transact');
+    expect((await time.settle(other.jobs.submit({ ...job, items }))).isOk).toBe(true);
+    const written = transact.mock.calls.flatMap(([{ writes }]) => writes.map(({ key }) => key));
+    expect(written.filter((key) => key.startsWith('items'))).toEqual([]);
+  });
+
   it('is finished by another gateway when its gateway is gone', async () => {
     const connectivity: systems.Connectivity = { isDirectCut: false };
     const first = await system.start('vm-1', 'vm-1-first', connectivity);
--- a/packages/gateway/src/jobs/item-window.ts
+++ b/packages/gateway/src/jobs/item-window.ts
@@ -100,23 +100,25 @@
     return added.filter(({ phase }) => phase !== progress.ItemPhase.Done);
   }
 
-  /** Reads further items; returns those that have no result. */
-  async fill(): Promise<{ readonly end: FillEnd; readonly added: progress.ItemProgress[] }> {
+  /**
+   * Reads further items.
+   * @param onAdded called with those that have no result, before anything else sees them
+   */
+  async fill(onAdded: (items: readonly progress.ItemProgress[]) => void): Promise<FillEnd> {
     const { reservation, source } = this.options;
-    const added: progress.ItemProgress[] = [];
     while (source?.isDone === false && this.hasRoom) {
       const readBytes = READ_BYTES + DECODING_COPIES * source.pendingBytes;
-      if (!reservation.tryGrow(readBytes)) return { end: FillEnd.NoMemory, added };
+      if (!reservation.tryGrow(readBytes)) return FillEnd.NoMemory;
       const items = await source.next();
       reservation.shrink(readBytes);
-      if (!items) return { end: FillEnd.Unreadable, added };
-      added.push(...this.add(items));
+      if (!items) return FillEnd.Unreadable;
+      onAdded(this.add(items));
     }
     this.listedGroups.forEach((group) => {
       if (!this.groupSizes.has(group)) this.completeGroups += 1;
     });
     this.listedGroups.clear();
-    return { end: FillEnd.Filled, added };
+    return FillEnd.Filled;
   }
 
   /** Removes an item that is listed, so that others can be held in its place. */
--- a/packages/gateway/src/jobs/job-loader.ts
+++ b/packages/gateway/src/jobs/job-loader.ts
@@ -89,6 +89,6 @@
 
 /** Reads the first items; the others may follow later. */
 async function fill(window: itemWindows.ItemWindow): Promise<boolean> {
-  const { end } = await window.fill();
+  const end = await window.fill(() => {});
   return end === itemWindows.FillEnd.Filled || window.items.size > 0;
 }
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -83,9 +83,9 @@
 
   /** Starts running further items of a job. */
   addItems(job: ownedJobs.OwnedJob, items: readonly progress.ItemProgress[]): void {
-    items.forEach((itemProgress) => {
-      if (itemProgress.isTextComplete) this.scoreItem(job, itemProgress);
-    });
+    items
+      .filter(({ phase, isTextComplete }) => phase === progress.ItemPhase.Waiting && isTextComplete)
+      .forEach((itemProgress) => this.scoreItem(job, itemProgress));
     this.scheduleDispatch();
   }
 
@@ -287,6 +287,7 @@
     job: ownedJobs.OwnedJob,
     itemProgress: progress.ItemProgress,
   ): Promise<void> {
+    if (!job.isOpen || itemProgress.phase === progress.ItemPhase.Done) return;
     itemProgress.phase = progress.ItemPhase.Scoring;
     itemProgress.isTextComplete = true;
     const { environment, forwarder } = this.options;
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -91,6 +91,7 @@
     let held: jobs.Item[] | undefined = [];
     let encodedBytes = 0;
     const rows: stores.RowWrite[] = [];
+    let isFirstBatch = true;
     for (const item of job.items) {
       const itemRows = encoder.add(item);
       encodedBytes += itemRows.reduce((sum, row) => sum + row.value.length, 0);
@@ -98,10 +99,16 @@
       if (isHeld) held?.push(item);
       else held = undefined;
       rows.push(...itemRows);
-      // Rows without a head are ignored and the last transaction writes the head, so a job that needs
-      // several transactions exists either completely or not at all.
-      const isStored = rows.length < BATCH_ROWS || (await this.storeRows(rows.splice(0)));
-      if (!isStored) return this.createUnstored(job, owner);
+      if (rows.length >= BATCH_ROWS) {
+        if (isFirstBatch) {
+          const known = await this.findKnown(job, owner);
+          if (known) return known;
+          isFirstBatch = false;
+        }
+        // Rows without a head are ignored and the last transaction writes the head, so a job that needs
+        // several transactions exists either completely or not at all.
+        if (!(await this.storeRows(rows.splice(0)))) return this.createUnstored(job, owner);
+      }
       await pacer.rest();
     }
     rows.push(...encoder.end());
@@ -135,6 +142,21 @@
     };
   }
 
+  /**
+   * The outcome for a job that is stored already: its rows are not written again, as the job may be running
+   * and another version of this program may have cut them differently.
+   */
+  private async findKnown(
+    job: jobs.SubmittedJob,
+    owner: records.JobOwner,
+  ): Promise<CreatedJob | undefined> {
+    const state = await this.readHead(job.id);
+    if (state === undefined) return undefined;
+    if (state === UNREADABLE) return this.createUnstored(job, owner);
+    const outcome = { status: stores.StoreStatus.Conflict, rows: [] } as const;
+    return { outcome, head: state.head, items: undefined };
+  }
+
   /** Stores rows of items, which count only once the head is stored; returns whether it did. */
   private async storeRows(writes: readonly stores.RowWrite[]): Promise<boolean> {
     const outcome = await this.settle({ conditions: [], writes, removals: [] }, undefined);
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -354,13 +354,15 @@
     const { environment, onItemsLoaded } = this.options;
     this.isLoading = true;
     while (this.isOpen && this.window.needsItems) {
-      const loaded = await this.errors.settle(() => this.window.fill(), undefined);
+      const onAdded = (items: readonly progress.ItemProgress[]): void => {
+        if (this.isOpen) onItemsLoaded(this, items);
+      };
+      const end = await this.errors.settle(() => this.window.fill(onAdded), undefined);
       if (!this.isOpen) this.window.release();
-      if (this.isOpen && loaded && loaded.added.length > 0) onItemsLoaded(this, loaded.added);
-      if (loaded?.end === itemWindows.FillEnd.Filled) break;
+      if (end === itemWindows.FillEnd.Filled) break;
       environment.log.warn('further items not read, trying again', {
         job: this.id,
-        reason: loaded?.end,
+        reason: end,
         held: this.items.size,
       });
       await environment.pause(LOAD_BACKOFF_MS);
