A text without memory is not its replica's fault; a job without memory reads nothing

A gateway without memory for a text avoided the replica that sent it, and read the list of a job again and again that it had no room to load. Texts end for a named reason now, and a job takes the memory of its first read before its list is read.

--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -16,6 +16,15 @@
 } as const;
 export type ItemPhase = (typeof ItemPhase)[keyof typeof ItemPhase];
 
+/** Why a text cannot go on. */
+export const TextFault = {
+  TooManyEvents: 'more events than the item has output tokens',
+  TooLong: 'a text that is too long to be stored',
+  /** This gateway has no room for it; the replica is not at fault. */
+  NoMemory: 'no memory for the text',
+} as const;
+export type TextFault = (typeof TextFault)[keyof typeof TextFault];
+
 /** Memory of an item without its bytes, and of an event without its data, in bytes. */
 const ITEM_BYTES = 1500;
 const EVENT_BYTES = 100;
@@ -104,19 +113,14 @@
     return this.data;
   }
 
-  /**
-   * Adds the next event to the text. Returns why that is not possible: the text is longer than any that the
-   * item can have, or the memory has no room for it.
-   */
-  addEvent(id: number, data: string): string | undefined {
+  /** Adds the next event to the text; returns what ends the run when the text cannot go on. */
+  addEvent(id: number, data: string): TextFault | undefined {
     const { maximumOutputTokens = Infinity } = this.item;
-    if (this.data.length >= maximumOutputTokens)
-      return `more events than the ${maximumOutputTokens} output tokens of the item`;
-    if (!this.reservation.tryGrow(estimateEventBytes(data))) return 'no memory for the text';
+    if (this.data.length >= maximumOutputTokens) return TextFault.TooManyEvents;
+    if (!this.reservation.tryGrow(estimateEventBytes(data))) return TextFault.NoMemory;
     this.appendData(data);
     this.lastEvent = id;
-    if (this.storedLength <= MAXIMUM_TEXT_BYTES) return undefined;
-    return `a text of more than ${MAXIMUM_TEXT_BYTES} bytes`;
+    return this.storedLength > MAXIMUM_TEXT_BYTES ? TextFault.TooLong : undefined;
   }
 
   private appendData(data: string): void {
@@ -185,6 +189,7 @@
   }
 }
 
-function estimateEventBytes(data: string): number {
+/** Estimates the memory of an event, in bytes. */
+export function estimateEventBytes(data: string): number {
   return EVENT_BYTES + data.length * CHARACTER_BYTES;
 }
--- a/packages/gateway/src/jobs/item-window.ts
+++ b/packages/gateway/src/jobs/item-window.ts
@@ -14,7 +14,7 @@
 /** Further items are read when fewer than this share of the maximum is left. */
 const REFILL_SHARE = 0.5;
 /** Memory that one read of items takes until they are decoded, in bytes. */
-const READ_BYTES = 4 * 1024 * 1024;
+export const READ_BYTES = 4 * 1024 * 1024;
 /** Copies of an item that exist while it is decoded. */
 const DECODING_COPIES = 4;
 
--- a/packages/gateway/src/jobs/job-loader.ts
+++ b/packages/gateway/src/jobs/job-loader.ts
@@ -4,6 +4,7 @@
  * store and loaded later.
  */
 import type * as environments from '../types/environment';
+import type * as memories from '../types/memory';
 import type * as jobs from '../types/batch-job';
 import * as itemWindows from './item-window';
 import * as progress from './item-progress';
@@ -57,9 +58,9 @@
     const window = itemWindows.ItemWindow.create({ reservation, source, listedIds });
     const results = listedResults.ListedResults.create(environment.memory.open());
     const isLoaded =
-      reservation.tryGrow(head.listed * LISTED_ID_BYTES) &&
+      reservation.tryGrow(head.listed * LISTED_ID_BYTES + itemWindows.READ_BYTES) &&
       (await this.readListed(id, head.listed, listedIds, results)) &&
-      (await fill(window)) &&
+      (await fill(window, reservation)) &&
       (await store.readPartials(id, onText));
     if (isLoaded) return { window, results };
     environment.log.info('job not loaded', { job: id, heldBytes: environment.memory.heldBytes });
@@ -88,7 +89,12 @@
 }
 
 /** Reads the first items; the others may follow later. */
-async function fill(window: itemWindows.ItemWindow): Promise<boolean> {
+async function fill(
+  window: itemWindows.ItemWindow,
+  reservation: memories.Reservation,
+): Promise<boolean> {
+  // The window takes it again for each of its reads.
+  reservation.shrink(itemWindows.READ_BYTES);
   const end = await window.fill(() => {});
   return end === itemWindows.FillEnd.Filled || window.items.size > 0;
 }
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -88,7 +88,7 @@
 const POSITION_DIGITS = 6;
 const CHUNK_DIGITS = 2;
 /** Positions have six digits. */
-export const MAXIMUM_ITEMS = 10 ** POSITION_DIGITS - 1;
+const MAXIMUM_ITEMS = 10 ** POSITION_DIGITS - 1;
 const POSITION_KEY_PATTERN = /^\d{6}\.\d{2}$/;
 
 /** Decodes the process that released a job; undefined when the notice does not name one. */
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -17,11 +17,8 @@
 }
 
 const MAXIMUM_TEXTS = 1000;
-/** Memory of a text without its events, and of an event without its data, in bytes. */
+/** Memory of a text without its events, in bytes. */
 const TEXT_BYTES = 500;
-const EVENT_BYTES = 100;
-/** Each character of an event takes up to two bytes. */
-const CHARACTER_BYTES = 2;
 
 /** The saved texts of one gateway, by item. */
 export class PartialTexts {
@@ -74,6 +71,5 @@
 }
 
 function estimateBytes(text: records.PartialText): number {
-  const eventBytes = text.events.map((data) => EVENT_BYTES + data.length * CHARACTER_BYTES);
-  return eventBytes.reduce((sum, bytes) => sum + bytes, TEXT_BYTES);
+  return text.events.reduce((sum, data) => sum + progress.estimateEventBytes(data), TEXT_BYTES);
 }
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -149,12 +149,12 @@
       itemProgress.software = softwares.identifySoftware(tracked.replica);
     }
     const nowMs = environment.nowMs();
-    const excess = itemProgress.addEvent(event.id, event.data);
-    if (excess !== undefined) {
+    const fault = itemProgress.addEvent(event.id, event.data);
+    if (fault !== undefined) {
       // A text without end is none that another replica should go on with.
       itemProgress.reset();
-      tracked.health.eject(nowMs);
-      this.abortRun(excess);
+      if (fault !== progress.TextFault.NoMemory) tracked.health.eject(nowMs);
+      this.abortRun(fault);
       return;
     }
     if (itemProgress.runEvents > 0) tracked.health.recordDuration(nowMs - itemProgress.lastEventMs);
