Keys of organisations: authorised per request, confirmed by the store, never passed on

Cause: deployments whose configuration names tenants were served as if they had none. Change: keys are held by digest; a request on a route that is not public runs for the organisation of its key, checked again before each send. Jobs belong to their organisation.

--- a/packages/gateway/src/configuration/active-configuration.ts
+++ b/packages/gateway/src/configuration/active-configuration.ts
@@ -5,6 +5,7 @@
 import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as configurations from '../types/configuration';
+import type * as organisations from '../types/organisation';
 import * as stores from '../types/store';
 import type * as tableWatches from '../store/table-watch';
 import * as routeTables from './route-table';
@@ -14,7 +15,12 @@
   | { readonly kind: 'configuration'; readonly configuration: configurations.Configuration }
   | { readonly kind: 'weights'; readonly model: string; readonly version: number }
   | { readonly kind: 'other' }
-  | { readonly kind: 'unreadable'; readonly reason: string };
+  | {
+      readonly kind: 'unreadable';
+      readonly reason: string;
+      /** Whether the row is that of the configuration. */
+      readonly isConfiguration?: boolean;
+    };
 
 /** Decodes rows of the operator's table. */
 export type DecodeOperatorRow = (row: stores.Row) => OperatorRow;
@@ -31,6 +37,8 @@
 
   private routes: routeTables.RouteTable | undefined;
 
+  private hasUnreadable = false;
+
   private readonly desiredVersions = new Map<string, number>();
 
   private readonly observers: ConfigurationObserver[] = [];
@@ -65,6 +73,22 @@
     return this.routes;
   }
 
+  /** Whether the newest configuration could be read, as far as this gateway has seen it. */
+  get isReadable(): boolean {
+    return !this.hasUnreadable;
+  }
+
+  /** How a replica is told the organisation of a request; undefined `name`: it belongs to none. */
+  identifyOrganisation(name: string | undefined): organisations.RequestOrganisation {
+    return this.configuration?.keyRing ? (name ?? null) : undefined;
+  }
+
+  /** The priority of an organisation's requests on a route. */
+  getPriority(route: configurations.Route, organisation: string | undefined): number {
+    const known = this.configuration?.keyRing?.findByName(organisation ?? '');
+    return known?.priority ?? route.priority;
+  }
+
   /** The newest version of a model's weights that a trainer wrote; undefined before the first. */
   getDesiredVersion(model: string): number | undefined {
     return this.desiredVersions.get(model);
@@ -84,11 +108,13 @@
     if (decoded.kind === 'configuration') this.applyConfiguration(decoded.configuration, row);
     if (decoded.kind === 'weights') this.applyDesiredVersion(decoded.model, decoded.version, row);
     if (decoded.kind !== 'unreadable') return;
+    this.hasUnreadable ||= decoded.isConfiguration === true;
     const { key, revision } = row;
     this.environment.log.warn('operator row ignored', { key, revision, reason: decoded.reason });
   }
 
   private applyConfiguration(configuration: configurations.Configuration, row: stores.Row): void {
+    this.hasUnreadable = false;
     if (this.configuration && configuration.version <= this.configuration.version) return;
     const routes = routeTables.RouteTable.create(configuration.routes);
     this.environment.log.info('configuration in force', {
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -19,16 +19,20 @@
 import * as sharedLimits from '../limits/shared-limits';
 import * as directories from '../replicas/directory';
 import * as observedClients from '../replicas/observed-client';
+import * as authorisers from '../organisations/authoriser';
+import * as confirmations from '../organisations/confirmation';
 import * as forwarders from '../requests/forwarder';
 import * as plannedStops from '../requests/planned-stop';
 import * as routedStores from '../store/routed-store';
 import * as softwareHistories from '../streams/software-history';
 import * as streamOrigins from '../streams/stream-origins';
 import * as tableWatches from '../store/table-watch';
+import type * as answers from '../jobs/answer';
 import type * as jobs from '../types/batch-job';
 import * as configurations from '../types/configuration';
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
+import type * as organisations from '../types/organisation';
 import type * as replicas from '../types/replica';
 import * as weightsTasks from '../weights/weights-task';
 import * as errorGuards from './error-guard';
@@ -51,6 +55,8 @@
   /** Lower-case names of the headers that identify a caller. */
   readonly callerHeaders: readonly string[];
   readonly leaseMs: number;
+  /** Within which a key that was taken away must be out of force; undefined: it may stay in force. */
+  readonly revocationMs?: number | undefined;
   /** How long a batch job can be read after its submission, in milliseconds. */
   readonly jobRetentionMs: number;
 }
@@ -81,6 +87,8 @@
 
   private readonly store: routedStores.RoutedStore;
 
+  private readonly authoriser: authorisers.Authoriser;
+
   private readonly plannedStop: plannedStops.PlannedStop;
 
   private readonly forwarder: forwarders.Forwarder;
@@ -173,6 +181,27 @@
       pause: environment.pause,
       countGateways,
     });
+    const confirmation = confirmations.ConfigurationConfirmation.create(
+      environment,
+      options.revocationMs,
+    );
+    const operatorWatch = tableWatches.TableWatch.create({
+      store: this.store,
+      table: options.tables.operator,
+      observer: configuration,
+      log,
+      nowMs,
+      metrics,
+      pause: environment.pause,
+      countGateways,
+      confirmation,
+    });
+    this.authoriser = authorisers.Authoriser.create({
+      environment,
+      configuration,
+      confirmation,
+      catchUp: () => operatorWatch.catchUp(),
+    });
     this.softwareHistory = softwareHistories.SoftwareHistory.create({
       environment,
       store: this.store,
@@ -261,7 +290,7 @@
         countGateways,
       });
     const tasks = [
-      watch(options.tables.operator, configuration),
+      operatorWatch,
       replicaWatch,
       watch(
         jobRecords.NOTICES_TABLE,
@@ -285,7 +314,8 @@
 
   /** Whether callers should be sent to this gateway. */
   get isReady(): boolean {
-    return !this.isStopping && this.configuration.current !== undefined;
+    const hasConfiguration = this.configuration.current !== undefined;
+    return !this.isStopping && hasConfiguration && this.authoriser.isAble;
   }
 
   start(): Promise<void> {
@@ -330,6 +360,42 @@
     if (!routeTable) return this.refuse(caller, 'no-configuration', 'nothing was read yet');
     const route = routeTable.find(caller.request.host, caller.path);
     if (!route) return this.refuse(caller, 'unknown-route', `${caller.request.host}${caller.path}`);
+    const outcome = await this.authoriser.authorise(caller.key, route);
+    if (!outcome.isOk) return this.refuseKey(caller, outcome.failure);
+    return this.handleAuthorised(
+      ...this.identify(caller, route, outcome.authorisation),
+      replyStream,
+    );
+  }
+
+  /** Authorises a call about a batch job; the name is that of the organisation that it is made for. */
+  async authoriseJobCall(key: string | undefined): Promise<answers.Answer<string | undefined>> {
+    const outcome = await this.authoriser.authoriseJobCall(key);
+    if (!outcome.isOk) return outcome;
+    return { isOk: true, value: outcome.authorisation?.organisation.name };
+  }
+
+  /** The request and the route as they are for an organisation; the key goes no further. */
+  private identify(
+    caller: exchanges.CallerRequest,
+    route: configurations.Route,
+    authorisation: organisations.Authorisation | undefined,
+  ): [exchanges.CallerRequest, configurations.Route] {
+    if (!this.configuration.current?.keyRing) return [caller, route];
+    const name = authorisation?.organisation.name;
+    const organisation = this.configuration.identifyOrganisation(name);
+    const request = { ...caller.request, organisation };
+    return [
+      { ...caller, request, key: undefined, authorisation },
+      { ...route, priority: authorisation?.organisation.priority ?? route.priority },
+    ];
+  }
+
+  private handleAuthorised(
+    caller: exchanges.CallerRequest,
+    route: configurations.Route,
+    replyStream: exchanges.ReplyStream,
+  ): Promise<GatewayReply> {
     if (route.kind === configurations.RouteKind.Streaming) {
       return this.forwarder.forwardStream(caller, route, replyStream);
     }
@@ -349,13 +415,26 @@
     try {
       const job = await this.options.decodeJob(caller);
       if (typeof job === 'string') return this.refuse(caller, 'invalid-request', job);
-      const answer = await this.jobs.submit(job);
+      const organisation = caller.authorisation?.organisation.name;
+      const answer = await this.jobs.submit({ ...job, organisation });
       return answer.isOk ? { kind: 'accepted' } : { kind: 'failure', failure: answer.failure };
     } finally {
       reservation.release();
     }
   }
 
+  private refuseKey(caller: exchanges.CallerRequest, failure: decisions.Failure): GatewayReply {
+    const { environment } = this.options;
+    environment.metrics.count('refusals', { code: failure.code });
+    environment.log.info('request refused', {
+      request: caller.request.id,
+      code: failure.code,
+      detail: failure.message,
+      configuration: this.configuration.current?.version,
+    });
+    return { kind: 'failure', failure };
+  }
+
   private refuse(
     caller: exchanges.CallerRequest,
     code: decisions.ErrorCode,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,8 @@
   type Transaction,
   type TransactionOutcome,
 } from './types/store';
+export { KeyRing } from './organisations/key-ring';
+export type { Organisation, OrganisationKeys } from './types/organisation';
 export type { ConnectedStore } from './store/routed-store';
 export type { OperatorRow } from './configuration/active-configuration';
 export {
--- a/packages/gateway/src/jobs/job-record.ts
+++ b/packages/gateway/src/jobs/job-record.ts
@@ -67,6 +67,8 @@
   readonly model: string;
   readonly oldestVersion: number;
   readonly wantedGroups: number;
+  /** The organisation that submitted it; undefined when it needed none. */
+  readonly organisation?: string | undefined;
   /** Unique to each write of the row. */
   readonly writeId: string;
 }
@@ -120,6 +122,7 @@
     // A time that was not known yet is written as null.
     [head.submittedMs, head.acceptedMs ?? null].every(isNumberOrNull) &&
     [head.step, head.oldestVersion, head.wantedGroups].every(isNumberOrNull) &&
+    (head.organisation === undefined || values.isText(head.organisation)) &&
     [head.host, head.path, head.model, head.writeId].every(values.isText);
   return isHead ? (head as unknown as JobHead) : undefined;
 }
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -132,7 +132,7 @@
     return {
       id: job.id,
       dueMs: this.toMonotonic(job.head.submittedMs + route.resultsDueMs),
-      priority: route.priority,
+      priority: this.options.configuration.getPriority(route, job.head.organisation),
       wantedGroups: job.head.wantedGroups,
       completeGroups:
         job.completeGroupCount + groups.filter((group) => group.unfinishedItems === 0).length,
@@ -188,7 +188,8 @@
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
-    const tracked = this.placement.choose(job, itemProgress, route, nowMs);
+    const priority = this.options.configuration.getPriority(route, job.head.organisation);
+    const tracked = this.placement.choose(job, itemProgress, { ...route, priority }, nowMs);
     if (!tracked) return;
     itemProgress.waitingSinceMs = undefined;
     this.startRun(job, itemProgress, route, tracked);
@@ -240,6 +241,7 @@
         oldestVersion: job.head.oldestVersion,
         isSingleVersion: route.isSingleVersion,
         host: job.head.host,
+        organisation: this.options.configuration.identifyOrganisation(job.head.organisation),
         jobId: job.id,
         deadlineMs: Math.max(
           1,
@@ -291,7 +293,13 @@
     itemProgress.phase = progress.ItemPhase.Scoring;
     itemProgress.isTextComplete = true;
     const { environment, forwarder } = this.options;
-    const scoringOptions = { environment, forwarder, queue: this.scoringQueue };
+    const scoringOptions = {
+      environment,
+      forwarder,
+      queue: this.scoringQueue,
+      identifyOrganisation: (name: string | undefined) =>
+        this.options.configuration.identifyOrganisation(name),
+    };
     const end = await this.errors.settle(
       () => scoring.scoreItem(scoringOptions, job, itemProgress),
       undefined,
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -14,6 +14,7 @@
 import type * as itemProgresses from './item-progress';
 import * as jobLoaders from './job-loader';
 import * as jobStarters from './job-starter';
+import type * as records from './job-record';
 import * as jobStores from './job-store';
 import * as ownedJobs from './owned-job';
 import * as partialTexts from './partial-texts';
@@ -109,7 +110,8 @@
   /** Accepts a job; submitting it again has no effect. */
   async submit(job: jobs.SubmittedJob): Promise<answers.Answer<undefined>> {
     const { environment, store } = this.options;
-    if (this.owned.has(job.id)) return { isOk: true, value: undefined };
+    const owned = this.owned.get(job.id);
+    if (owned) return confirmSubmitted(job, owned.head);
     if (this.isStopping) return { isOk: false, failure: plannedStops.createStopRefusal() };
     const startMs = environment.nowMs();
     const chosenGateway = gatewayChoices.chooseGateway(job.model, this.options.listWorkers());
@@ -131,17 +133,25 @@
     environment.metrics.record('job_submission', {}, tookMs);
     if (outcome.status === stores.StoreStatus.Done) {
       const state = { head, revision: outcome.revision };
-      this.jobCache.set(id, { total: head.total, owner: head.owner });
+      this.jobCache.set(id, resultReaders.createCachedJob(head));
       if (store.isOwn(head)) await this.startSubmitted(id, state, items);
       return { isOk: true, value: undefined };
     }
-    if (outcome.status === stores.StoreStatus.Conflict) return { isOk: true, value: undefined };
+    if (outcome.status === stores.StoreStatus.Conflict) return this.confirmStored(job);
     if (outcome.status === stores.StoreStatus.NotDone)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
     this.followUnknownSubmission(id);
     return answers.fail('outcome-unknown');
   }
 
+  /** Answers a submission of a job that the store has. */
+  private async confirmStored(job: jobs.SubmittedJob): Promise<answers.Answer<undefined>> {
+    if (job.organisation === undefined) return { isOk: true, value: undefined };
+    const state = await this.options.store.readHead(job.id);
+    if (state === jobStores.UNREADABLE) return answers.fail('outcome-unknown');
+    return state ? confirmSubmitted(job, state.head) : answers.fail('outcome-unknown');
+  }
+
   /** Claims a job, loads it from the store and runs it from now on; returns whether it does. */
   async takeOver(id: string, state: jobStores.HeadState): Promise<boolean> {
     // Two searches may find the same job. If it were started twice, two OwnedJob instances would
@@ -157,14 +167,14 @@
     }
   }
 
-  /** Ends a job; ending it again has no effect. */
-  async end(id: string): Promise<answers.Answer<undefined>> {
+  /** Ends a job of an organisation; ending it again has no effect. */
+  async end(id: string, organisation?: string): Promise<answers.Answer<undefined>> {
     const { store, environment } = this.options;
     for (let attempt = 0; attempt < MAXIMUM_END_ATTEMPTS; attempt += 1) {
       const state = await store.readHead(id);
       if (state === jobStores.UNREADABLE)
         return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
-      if (!state) return answers.fail('unknown-job');
+      if (!state || state.head.organisation !== organisation) return answers.fail('unknown-job');
       if (state.head.isEnded) {
         this.onJobEnded(id);
         return { isOk: true, value: undefined };
@@ -254,7 +264,7 @@
       },
       content,
     );
-    this.jobCache.set(job.id, { total: job.head.total, owner: job.head.owner });
+    this.jobCache.set(job.id, resultReaders.createCachedJob(job.head));
     this.owned.set(job.id, job);
     this.restoreTexts(job, [...job.items.values()]);
     if (job.isWhole) {
@@ -316,3 +326,12 @@
     }
   }
 }
+
+/** An id that another organisation has used names its job, which this caller must not learn of. */
+function confirmSubmitted(
+  job: jobs.SubmittedJob,
+  head: records.JobHead,
+): answers.Answer<undefined> {
+  if (head.organisation === job.organisation) return { isOk: true, value: undefined };
+  return answers.fail('conflict');
+}
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -189,6 +189,7 @@
       model: job.model,
       oldestVersion: job.oldestVersion,
       wantedGroups: job.wantedGroups,
+      ...(job.organisation !== undefined && { organisation: job.organisation }),
       writeId: this.createWriteId(),
     };
   }
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -51,6 +51,13 @@
   readonly owner: records.JobOwner | null;
   /** Whether nothing more is listed, as the job was ended or finished. */
   readonly isFinal?: boolean;
+  /** The organisation that submitted it. */
+  readonly organisation?: string | undefined;
+}
+
+/** What is cached of a job that may go on. */
+export function createCachedJob({ total, owner, organisation }: records.JobHead): CachedJob {
+  return { total, owner, organisation };
 }
 
 export interface ResultReaderOptions {
@@ -77,24 +84,29 @@
     return new ResultReader(options);
   }
 
-  /** Reads the results from `position` onwards; waits up to `waitMs` for the first. */
+  /**
+   * Reads the results from `position` onwards; waits up to `waitMs` for the first.
+   * @param organisation that reads; it finds its own jobs only
+   */
   async read(
     id: string,
     position: number,
     waitMs: number,
     signal: AbortSignal,
+    organisation?: string,
   ): Promise<answers.Answer<ResultsPage>> {
     const endMs = this.options.environment.nowMs() + waitMs;
     for (;;) {
       const remainingMs = endMs - this.options.environment.nowMs();
       const isLastRead = remainingMs <= 0 || signal.aborted || this.options.isStopping();
       const owned = this.options.findOwnedJob(id);
+      if (owned && owned.head.organisation !== organisation) return answers.fail('unknown-job');
       const held = owned?.results.list(position);
       if (owned && held && (held.length > 0 || owned.isWhole))
         return { isOk: true, value: { total: owned.head.total, results: held } };
       if (owned?.isOpen && held && !isLastRead) await owned.waitForResult(remainingMs, signal);
       else {
-        const stored = await this.readStored(id, position);
+        const stored = await this.readStored(id, position, organisation);
         if (!stored.isOk || stored.value.results.length > 0) return stored;
         if (isLastRead || stored.value.isFinal) {
           this.logEmptyPage(id, position, owned);
@@ -122,15 +134,20 @@
   }
 
   /** Reads the body of an item; the items of a job that was ended are no longer available. */
-  async readBody(id: string, itemId: string): Promise<answers.Answer<Buffer>> {
+  async readBody(
+    id: string,
+    itemId: string,
+    organisation?: string,
+  ): Promise<answers.Answer<Buffer>> {
     const owned = this.options.findOwnedJob(id);
+    if (owned && owned.head.organisation !== organisation) return answers.fail('unknown-job');
     if (owned?.closeReason === ownedJobs.JobCloseReason.Ended) return answers.fail('unknown-item');
     const ownedItem = owned?.items.get(itemId)?.item;
     if (ownedItem && owned.isOpen) return { isOk: true, value: ownedItem.body };
     const state = await this.options.store.readHead(id);
     if (state === jobStores.UNREADABLE)
       return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
-    if (!state) return answers.fail('unknown-job');
+    if (!state || state.head.organisation !== organisation) return answers.fail('unknown-job');
     if (state.head.isEnded) return answers.fail('unknown-item');
     if (ownedItem) return { isOk: true, value: ownedItem.body };
     const item = await this.options.store.findItem(id, itemId);
@@ -173,7 +190,11 @@
     await environment.pause(Math.min(STORE_POLL_INTERVAL_MS, remainingMs));
   }
 
-  private async readStored(id: string, position: number): Promise<answers.Answer<ResultsPage>> {
+  private async readStored(
+    id: string,
+    position: number,
+    organisation: string | undefined,
+  ): Promise<answers.Answer<ResultsPage>> {
     const { store, jobCache } = this.options;
     let cachedJob = jobCache.get(id);
     if (!cachedJob?.owner && !cachedJob?.isFinal) {
@@ -181,10 +202,11 @@
       if (state === jobStores.UNREADABLE)
         return answers.fail('store-unavailable', answers.STORE_RETRY_AFTER_MS);
       if (!state) return answers.fail('unknown-job');
-      const { total, owner, isEnded, isFinished } = state.head;
-      cachedJob = { total, owner, isFinal: isEnded || isFinished };
+      const { isEnded, isFinished } = state.head;
+      cachedJob = { ...createCachedJob(state.head), isFinal: isEnded || isFinished };
       jobCache.set(id, cachedJob);
     }
+    if (cachedJob.organisation !== organisation) return answers.fail('unknown-job');
     // The results are read after it is known that no more are listed.
     const isFinal = cachedJob.isFinal === true;
     const range = await store.readResults(id, position);
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -2,6 +2,7 @@
  * Scores the complete text of an item, by the scoring call that was submitted with the item.
  */
 import type * as environments from '../types/environment';
+import type * as organisations from '../types/organisation';
 import type * as forwarders from '../requests/forwarder';
 import type * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
@@ -11,6 +12,7 @@
   readonly environment: environments.Environment;
   readonly forwarder: forwarders.Forwarder;
   readonly queue: scoringQueues.ScoringQueue;
+  readonly identifyOrganisation: (name: string | undefined) => organisations.RequestOrganisation;
 }
 
 /** How scoring ended; `abandoned` when the job was closed first. */
@@ -60,6 +62,7 @@
         host: scoring.host,
         headers: [],
         body: scoring.body,
+        organisation: options.identifyOrganisation(undefined),
       },
       path,
       deadlineMs: SCORING_TIMEOUT_MS,
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -3,6 +3,7 @@
  * adds further events, as long as their ids are consecutive and their weights versions acceptable.
  */
 import type * as environments from '../types/environment';
+import type * as organisations from '../types/organisation';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as softwares from '../replicas/software';
@@ -13,6 +14,7 @@
   readonly oldestVersion: number;
   readonly isSingleVersion: boolean;
   readonly host: string;
+  readonly organisation: organisations.RequestOrganisation;
   readonly jobId: string;
   /** Time left until the item expires. */
   readonly deadlineMs: number;
@@ -88,6 +90,7 @@
       host: context.host,
       headers: item.headers,
       body: item.body,
+      organisation: context.organisation,
     };
     const streamOptions = {
       deadlineMs: context.deadlineMs,
--- a/packages/gateway/src/quarantine/fingerprint.ts
+++ b/packages/gateway/src/quarantine/fingerprint.ts
@@ -11,7 +11,7 @@
  * @param callerHeaders lower-case names of the headers that identify a caller
  */
 export function computeFingerprint(
-  { method, host, target, headers, body }: replicas.ReplicaRequest,
+  { method, host, target, headers, body, organisation }: replicas.ReplicaRequest,
   callerHeaders: ReadonlySet<string>,
 ): string {
   const caller: string[] = [];
@@ -19,6 +19,7 @@
     const name = (headers[index] ?? '').toLowerCase();
     if (callerHeaders.has(name)) caller.push(`${name}:${headers[index + 1]}`);
   }
+  if (organisation) caller.push(`organisation:${organisation}`);
   const head = JSON.stringify([method, host.toLowerCase(), target, ...caller.sort()]);
   const digest = crypto.createHash('sha256').update(head).update(body).digest('hex');
   return digest.slice(0, 2 * FINGERPRINT_BYTES);
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -7,6 +7,7 @@
 import type * as activeConfigurations from '../configuration/active-configuration';
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
+import type * as organisations from '../types/organisation';
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
@@ -51,6 +52,8 @@
   readonly software?: string | undefined;
   /** Whether the request is not to queue at a replica, behind others or before them. */
   readonly needsFreeSlot?: boolean;
+  /** Without one the request needs none; one that is no longer valid gets no replica. */
+  readonly authorisation?: organisations.Authorisation | undefined;
 }
 
 /**
@@ -131,6 +134,7 @@
             tried,
             guard,
             software: startedBy,
+            authorisation: caller.authorisation,
           }),
         createRefusal: () => this.createRefusal(service, stop),
         recordOutcome: (tracked, outcome, tookMs) =>
@@ -185,6 +189,7 @@
       request: caller.request.id,
       route: route.name,
       outcome,
+      ...(caller.authorisation && { organisation: caller.authorisation.organisation.name }),
       attempts,
       tookMs: Math.round(tookMs),
       deadlineMs: caller.deadlineMs,
@@ -224,7 +229,13 @@
   }
 
   private callReplicas(
-    { request, signal, onPlaced }: Pick<InternalRequest, 'request' | 'signal' | 'onPlaced'>,
+    {
+      request,
+      signal,
+      onPlaced,
+      authorisation,
+    }: Pick<InternalRequest, 'request' | 'signal' | 'onPlaced'> &
+      Pick<exchanges.CallerRequest, 'authorisation'>,
     route: configurations.Route,
     deadlines: { readonly callerDeadlineAtMs: number; readonly deadlineAtMs: number },
     guard?: guardedRequests.GuardedRequest,
@@ -246,6 +257,7 @@
             tried,
             guard,
             needsFreeSlot,
+            authorisation,
           });
           if (chosen) onPlaced?.();
           return chosen;
@@ -273,11 +285,13 @@
     guard,
     software,
     needsFreeSlot = false,
+    authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
     const { environment, directory, permits } = this.options;
     const excluded = new Set(tried);
     for (;;) {
+      if (authorisation?.isValid() === false) return undefined;
       const open = directory
         .list(service)
         .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica))
@@ -294,7 +308,8 @@
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
       const isAllowed = !guard || guard.selectReplicas([chosen]).length > 0;
-      if (isGranted && isAllowed && !chosen.isLeaving) return chosen;
+      const isAuthorised = authorisation?.isValid() !== false;
+      if (isGranted && isAllowed && isAuthorised && !chosen.isLeaving) return chosen;
       excluded.add(chosen.replica.id);
     }
   }
--- a/packages/gateway/src/store/table-watch.ts
+++ b/packages/gateway/src/store/table-watch.ts
@@ -50,6 +50,18 @@
   readonly pause: (durationMs: number) => Promise<void>;
   /** The number of gateways that watch tables of this store. */
   readonly countGateways: () => number;
+  readonly confirmation?: TableConfirmation;
+}
+
+/** Learns when the table was known in full. */
+export interface TableConfirmation {
+  /** The longest wait for changes; undefined when nothing limits it. */
+  readonly maximumWaitMs: number | undefined;
+  /**
+   * Called before a read is sent.
+   * @returns called when the observer has taken in what the read returned
+   */
+  begin(): () => void;
 }
 
 /**
@@ -137,6 +149,7 @@
 
   private async readTable(): Promise<boolean> {
     const { store, table, partitions = [''], observer } = this.options;
+    const confirm = this.options.confirmation?.begin();
     const rows: stores.Row[] = [];
     let revision = Infinity;
     for (const partition of partitions) {
@@ -148,13 +161,15 @@
     }
     this.revision = revision;
     // Reading the table again at once would meet the same rows, so the watch goes on with the changes.
-    this.errors.run(() => observer.onSnapshot(rows));
+    if (this.errors.run(() => observer.onSnapshot(rows))) confirm?.();
     return true;
   }
 
   private async readChanges(): Promise<boolean> {
     const { store, table, log, countGateways } = this.options;
-    const waitMs = chooseWaitMs(countGateways());
+    const maximumWaitMs = this.options.confirmation?.maximumWaitMs ?? Infinity;
+    const waitMs = Math.min(maximumWaitMs, chooseWaitMs(countGateways()));
+    const confirm = this.options.confirmation?.begin();
     const outcome = await store.waitForChanges(table, this.revision ?? 0, waitMs);
     if (this.isStopped) return false;
     if (outcome.status === stores.StoreStatus.HistoryLost) {
@@ -166,28 +181,39 @@
       return true;
     }
     if (outcome.status !== stores.StoreStatus.Done || this.revision === undefined) return false;
-    return this.apply(outcome, this.revision);
+    return this.apply(outcome, this.revision, confirm);
   }
 
   private async readNewChanges(): Promise<boolean> {
     const { store, table } = this.options;
     if (this.revision === undefined || this.isStopped) return false;
+    const confirm = this.options.confirmation?.begin();
     const outcome = await store.waitForChanges(table, this.revision, 0);
     // Without its history, or while it is read in full, the table is known only after that read.
     if (outcome.status !== stores.StoreStatus.Done || this.revision === undefined) return false;
-    return this.apply(outcome, this.revision);
+    return this.apply(outcome, this.revision, confirm);
   }
 
   /** Returns false when the observer missed some of the changes, which it learns from the table. */
-  private apply({ changes, revision }: ReadChanges, knownRevision: number): boolean {
+  private apply(
+    { changes, revision }: ReadChanges,
+    knownRevision: number,
+    confirm: (() => void) | undefined,
+  ): boolean {
     // Two reads of changes may overlap; what the later one told includes the earlier one.
-    if (revision <= knownRevision) return true;
-    this.revision = revision;
-    if (changes.length === 0) return true;
-    if (this.errors.run(() => this.options.observer.onChanges(changes))) return true;
+    const isNew = revision > knownRevision;
+    if (isNew) this.revision = revision;
+    if (!isNew || changes.length === 0 || this.takeIn(changes)) {
+      confirm?.();
+      return true;
+    }
     this.revision = undefined;
     return false;
   }
+
+  private takeIn(changes: readonly stores.RowChange[]): boolean {
+    return this.errors.run(() => this.options.observer.onChanges(changes));
+  }
 }
 
 type ReadChanges = Extract<stores.ChangesOutcome, { readonly status: 'done' }>;
--- a/packages/gateway/src/types/batch-job.ts
+++ b/packages/gateway/src/types/batch-job.ts
@@ -41,6 +41,8 @@
   readonly oldestVersion: number;
   /** Number of complete groups that the trainer waits for. */
   readonly wantedGroups: number;
+  /** The organisation that submitted it; undefined when it needed none. */
+  readonly organisation?: string | undefined;
   readonly items: readonly Item[];
 }
 
--- a/packages/gateway/src/types/configuration.ts
+++ b/packages/gateway/src/types/configuration.ts
@@ -2,6 +2,8 @@
  * The operator's configuration as the gateway uses it.
  */
 
+import type * as keyRings from '../organisations/key-ring';
+
 /** Kind of a route's requests; it decides whether a request may be retried. */
 export const RouteKind = {
   /** May run more than once. */
@@ -37,6 +39,8 @@
   /** The largest number of replicas to which one attempt of a caller may be sent. */
   readonly maximumAttempts: number;
   readonly isResumable: boolean;
+  /** Whether its requests need no key where the deployment has organisations. */
+  readonly isPublic?: boolean;
   /** Whether each sample must come from a single version of the weights. */
   readonly isSingleVersion: boolean;
   /** Batch jobs: time from the submission until all results are due. */
@@ -74,4 +78,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: CallerLimits;
+  /** The keys of its organisations; undefined when the deployment has none. */
+  readonly keyRing?: keyRings.KeyRing | undefined;
 }
--- a/packages/gateway/src/types/exchange.ts
+++ b/packages/gateway/src/types/exchange.ts
@@ -2,6 +2,7 @@
  * A caller's request and its reply.
  */
 import type * as decisions from '@azureworks/decisions';
+import type * as organisations from './organisation';
 import type * as replicas from './replica';
 
 /** A request as received from a caller. */
@@ -19,6 +20,10 @@
   readonly afterEvent: number | undefined;
   /** Id of the caller's attempt that brought the first event of the stream that this one resumes. */
   readonly firstAttemptId?: string | undefined;
+  /** The key that the caller sent. It goes to no replica, peer, log line, metric, error or row. */
+  readonly key?: string | undefined;
+  /** Set once the key was accepted; undefined when the request needs none. */
+  readonly authorisation?: organisations.Authorisation | undefined;
 }
 
 /** A replica's answer, or a failure reported by the gateway itself. */
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -2,6 +2,8 @@
  * A replica as it registers itself, and the calls that can be made to it.
  */
 
+import type * as organisations from './organisation';
+
 /** A running instance of a service, as described in its row. */
 export interface Replica {
   readonly id: string;
@@ -60,6 +62,7 @@
   /** Alternating names and values, without hop-by-hop headers and those that the gateway sets. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  readonly organisation?: organisations.RequestOrganisation;
 }
 
 /** How a call to a replica ended. */
