Gateways with few requests for a service prefer a few of its replicas

With 0.3 plain requests a second for 14 replicas, nearly every request met a replica whose connection had been closed because it was idle. A gateway now prefers as many replicas as get a request each within 3 s, and two at least, chosen by rendezvous hashing with its own failure domain first as far as that has its part of the replicas. It chooses among all where more than half would be preferred, where the preferred ones are busy or slower than others by a quarter, for one request in 16, and for suspect requests.

Tests of preferred replicas, placement, plain calls, request logs, quarantine, crashing requests, scoring queue and rate limits: green.

--- a/packages/gateway/src/quarantine/guarded-request.ts
+++ b/packages/gateway/src/quarantine/guarded-request.ts
@@ -69,6 +69,11 @@
     return prefer(separate, ({ replica }) => !this.lostDomains.has(replica.failureDomain));
   }
 
+  /** Whether it is limited to some replicas, and its choice depends on its fingerprint only. */
+  get isSuspect(): boolean {
+    return this.state !== decisions.QuarantineState.Clear;
+  }
+
   /**
    * The draw between equally good replicas, in [0, 1). That of a suspect request depends on its
    * fingerprint only, so that it differs from that of another suspect at any gateway.
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -12,6 +12,7 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as placement from '../replicas/placement';
+import * as preferredReplicas from '../replicas/preferred-replicas';
 import type * as guardedRequests from '../quarantine/guarded-request';
 import type * as requestQuarantines from '../quarantine/request-quarantine';
 import * as routeTables from '../configuration/route-table';
@@ -52,6 +53,8 @@
   readonly software?: string | undefined;
   /** Whether the request is not to queue at a replica, behind others or before them. */
   readonly needsFreeSlot?: boolean;
+  /** Narrows the choice to the replicas that this gateway prefers. */
+  readonly prefer?: preferredReplicas.CandidateFilter;
   /** Without one the request needs none; one that is no longer valid gets no replica. */
   readonly authorisation?: organisations.Authorisation | undefined;
 }
@@ -73,7 +76,11 @@
 
 /** Forwards plain and streaming requests. */
 export class Forwarder {
-  private constructor(private readonly options: ForwarderOptions) {}
+  private readonly preferredReplicas: preferredReplicas.PreferredReplicas;
+
+  private constructor(private readonly options: ForwarderOptions) {
+    this.preferredReplicas = preferredReplicas.PreferredReplicas.create(options.environment.vm);
+  }
 
   static create(options: ForwarderOptions): Forwarder {
     return new Forwarder(options);
@@ -243,6 +250,7 @@
     const { environment, replicaClient } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
+    const preference = this.preferredReplicas.countRequest(service ?? '', environment.nowMs());
     const call = plainCalls.PlainCall.create(
       {
         replicaClient: guard ?? replicaClient,
@@ -257,8 +265,10 @@
             tried,
             guard,
             needsFreeSlot,
+            prefer: preference.narrow,
             authorisation,
           });
+          if (chosen) preference.recordChoice(chosen.replica.id);
           if (chosen) onPlaced?.();
           return chosen;
         },
@@ -285,6 +295,7 @@
     guard,
     software,
     needsFreeSlot = false,
+    prefer = (candidates) => candidates,
     authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
@@ -303,7 +314,8 @@
       const allowed = guard ? guard.selectReplicas(open) : open;
       const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
       const draw = guard ? guard.draw(environment.random) : environment.random();
-      const chosen = placement.choosePlacement(candidates, draw)?.tracked;
+      const preferred = guard?.isSuspect ? candidates : prefer(candidates);
+      const chosen = placement.choosePlacement(preferred, draw)?.tracked;
       if (!chosen || !permits.isNeeded(chosen.replica)) return chosen;
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
