--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -72,6 +72,9 @@
     readonly startedMs: number;
   }[] = [];
 
+  /** The organisations that replicas were told, by request. */
+  readonly organisations = new Map<string, gateway.ReplicaRequest['organisation']>();
+
   /** Bodies of the requests that crash each replica that runs them. */
   readonly deadlyBodies = new Set<string>();
 
@@ -126,6 +129,7 @@
       return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
     }
     this.calls.push({ replica: replica.id, id: request.id, startedMs: time.nowMs() });
+    this.organisations.set(request.id, request.organisation);
     const connection = this.connect(replica.id);
     const outcome = await Promise.race([connection.lost, this.run(replica, request, options)]);
     connection.close();
@@ -209,6 +213,7 @@
     if (this.isDown(replica.id)) {
       return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
     }
+    this.organisations.set(stream[1].id, stream[1].organisation);
     const connection = this.connect(replica.id);
     const outcome = await Promise.race([connection.lost, this.runStream(...stream)]);
     connection.close();
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -168,6 +168,9 @@
 
   readonly replicas = fakeReplicas.FakeReplicas.create();
 
+  /** Within which a key that was taken away must be out of force. */
+  revocationMs: number | undefined;
+
   /** Whether no call of any gateway reaches the store. */
   isStoreAway = false;
 
@@ -249,6 +252,7 @@
       decodeJob: () => Promise.resolve('not used'),
       callerHeaders: ['x-caller'],
       leaseMs: 3000,
+      revocationMs: this.revocationMs,
       jobRetentionMs: 120_000,
     });
     this.gateways.push(started);
