Replica selection: one order of filters, trials of ejected replicas, backoff without progress

Items were filtered by free slots before ejected replicas were left out. With the healthy replicas full, the only candidates were ejected ones with free slots, and an item whose run was reset was sent again in the same millisecond.

One module now filters the candidates of items, plain calls, streams and scoring calls: suitable, permitted, healthy, then room. An ejected replica gets nothing while another one is healthy. After its ejection it gets one request at a time, until one succeeds or a stream brings four events.

--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -19,6 +19,8 @@
   ignoresResume: boolean;
   /** Whether it is unresponsive. */
   isSilent: boolean;
+  /** Whether it resets the connection of each request after `answerMs`. */
+  resetsRequests: boolean;
   /** How many of the next streams are answered with an internal error. */
   failedStreams: number;
   /** Time until such an answer. */
@@ -104,6 +106,7 @@
         breakAfterEvents: undefined,
         ignoresResume: false,
         isSilent: false,
+        resetsRequests: false,
         failedStreams: 0,
         streamFailureMs: 100,
         status: 200,
@@ -195,6 +198,7 @@
     if (await pauseUnlessAborted(behaviour.answerMs, options.signal)) {
       return { status: CallStatus.Cancelled, reason: 'aborted' };
     }
+    if (behaviour.resetsRequests) return createReset();
     options.onSignals?.(createSignals(behaviour));
     const { status } = behaviour;
     const signature = status === 200 ? `signature of ${request.id}` : undefined;
@@ -245,6 +249,10 @@
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
       return { status: CallStatus.Broken, reason: 'silent for too long', isSilent: true };
     }
+    if (behaviour.resetsRequests) {
+      const isAborted = await pauseUnlessAborted(behaviour.answerMs, options.signal);
+      return isAborted ? { status: CallStatus.Cancelled, reason: 'aborted' } : createReset();
+    }
     if (behaviour.failedStreams > 0) {
       behaviour.failedStreams -= 1;
       const isAborted = await pauseUnlessAborted(behaviour.streamFailureMs, options.signal);
@@ -316,6 +324,10 @@
   }
 }
 
+function createReset(): gateway.CallOutcome {
+  return { status: CallStatus.Broken, reason: 'ECONNRESET', isConnectionLost: true };
+}
+
 function createSignals({ rateLimit, isLeaving }: ReplicaBehaviour): gateway.ReplicaSignals {
   return { rateLimit, isLeaving };
 }
--- a/packages/gateway/src/jobs/item-placement.ts
+++ b/packages/gateway/src/jobs/item-placement.ts
@@ -8,7 +8,8 @@
 import * as routeTables from '../configuration/route-table';
 import type * as permitRequesters from '../limits/permit-requester';
 import type * as directories from '../replicas/directory';
-import * as placement from '../replicas/placement';
+import * as selections from '../replicas/replica-selection';
+import * as replicaTrials from '../replicas/replica-trials';
 import * as softwares from '../replicas/software';
 import type * as configurations from '../types/configuration';
 import type * as environments from '../types/environment';
@@ -31,6 +32,9 @@
 
 /** Places the items of one gateway. */
 export class ItemPlacement {
+  /** Why there was no replica for the last item that got none. */
+  lastReason: selections.WithheldReason | undefined;
+
   private constructor(private readonly options: ItemPlacementOptions) {}
 
   static create(options: ItemPlacementOptions): ItemPlacement {
@@ -78,26 +82,36 @@
   ): directories.TrackedReplica | undefined {
     const { directory, environment, permits } = this.options;
     const { model } = itemProgress.item;
-    let candidates = suitable
-      .filter((tracked) => {
-        const version = directory.getVersion(tracked, model);
-        if (version !== undefined && version < job.head.oldestVersion) return false;
-        if ((tracked.loadingUntilMs.get(model) ?? -Infinity) > nowMs) return false;
-        if (permits.isRefused(tracked.replica)) return false;
-        return directory.getLoad(tracked) < tracked.replica.slots;
-      })
-      .map((tracked) => {
-        const candidate = directory.createCandidate(tracked);
-        const ranItemLast = itemProgress.replicaId === tracked.replica.id;
-        // The failure domain of the replica does not matter for batch items.
-        return { ...candidate, isLocal: false, isEjected: candidate.isEjected || ranItemLast };
-      });
+    const isSuitable = (tracked: directories.TrackedReplica): boolean => {
+      const version = directory.getVersion(tracked, model);
+      if (version !== undefined && version < job.head.oldestVersion) return false;
+      return (tracked.loadingUntilMs.get(model) ?? -Infinity) <= nowMs;
+    };
+    const refused = new Set<directories.TrackedReplica>();
     for (;;) {
-      const chosen = placement.choosePlacement(candidates, environment.random())?.tracked;
-      if (!chosen) return undefined;
+      const candidates = suitable.filter(isSuitable).map((tracked) => ({
+        ...directory.createCandidate(tracked, {
+          isSuitable: true,
+          isPermitted: !refused.has(tracked) && !permits.isRefused(tracked.replica),
+          isTried: false,
+          isAvoided: itemProgress.replicaId === tracked.replica.id,
+        }),
+        // The failure domain of the replica does not matter for batch items.
+        isLocal: false,
+      }));
+      const draw = environment.random();
+      const { chosen, reason } = selections.selectReplica(candidates, { needsRoom: true, draw });
+      if (!chosen) {
+        this.lastReason = reason;
+        return undefined;
+      }
+      const { tracked } = chosen;
       const onPermit = (): void => this.options.onRoom();
-      if (permits.tryTake(chosen.replica, route.priority, onPermit)) return chosen;
-      candidates = candidates.filter(({ tracked }) => tracked !== chosen);
+      if (permits.tryTake(tracked.replica, route.priority, onPermit)) {
+        replicaTrials.recordSelection(environment, tracked);
+        return tracked;
+      }
+      refused.add(tracked);
     }
   }
 
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -15,8 +15,10 @@
 import type * as forwarders from '../requests/forwarder';
 import * as itemOrder from './item-order';
 import * as itemPlacements from './item-placement';
+import * as itemWaits from './item-waits';
 import * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
+import * as runBackoffs from './run-backoff';
 import * as scoring from './scoring';
 import * as scoringQueues from './scoring-queue';
 import * as streamRuns from './stream-run';
@@ -58,6 +60,10 @@
 
   private readonly placement: itemPlacements.ItemPlacement;
 
+  private readonly backoff: runBackoffs.RunBackoff;
+
+  private readonly waits: itemWaits.ItemWaits;
+
   private constructor(private readonly options: JobRunnerOptions) {
     this.scoringQueue = scoringQueues.ScoringQueue.create(options.environment);
     this.errors = errorGuards.ErrorGuard.create(options.environment, 'items');
@@ -65,6 +71,11 @@
       ...options,
       onRoom: () => this.scheduleDispatch(),
     });
+    this.backoff = runBackoffs.RunBackoff.create({
+      ...options,
+      onElapsed: () => this.scheduleDispatch(),
+    });
+    this.waits = itemWaits.ItemWaits.create(options.environment);
   }
 
   static create(options: JobRunnerOptions): JobRunner {
@@ -120,6 +131,7 @@
       if (!job?.isOpen || itemProgress?.phase !== progress.ItemPhase.Waiting) return;
       this.dispatchItem(job, itemProgress, storeNowMs);
     });
+    this.waits.finishPass();
   }
 
   private describeJob(job: ownedJobs.OwnedJob): itemOrder.WaitingJob | undefined {
@@ -188,9 +200,13 @@
       job.finishItem(itemProgress, jobs.ResultState.Terminated, { cause: 'expired', lifetimeMs });
       return;
     }
+    if (this.backoff.isWaiting(itemProgress, nowMs)) return;
     const priority = this.options.configuration.getPriority(route, job.head.organisation);
     const tracked = this.placement.choose(job, itemProgress, { ...route, priority }, nowMs);
-    if (!tracked) return;
+    if (!tracked) {
+      this.waits.add(this.placement.lastReason);
+      return;
+    }
     itemProgress.waitingSinceMs = undefined;
     this.startRun(job, itemProgress, route, tracked);
   }
@@ -275,6 +291,13 @@
       tracked.loadingUntilMs.set(itemProgress.item.model, nowMs() + LOADING_BACKOFF_MS);
       setTimeout(() => this.scheduleDispatch(), LOADING_BACKOFF_MS);
     }
+    if (end.kind === 'broken') {
+      const { runEvents: events } = itemProgress;
+      this.backoff.recordBreak(itemProgress, tracked, {
+        events,
+        isAborted: end.isAborted === true,
+      });
+    }
     if (end.kind !== 'failed-answer') return;
     itemProgress.failedAnswers += 1;
     const mostAttempts = job.giveUpLimits.maximumAttempts;
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -6,6 +6,7 @@
 import type * as organisations from '../types/organisation';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as replicaTrials from '../replicas/replica-trials';
 import * as softwares from '../replicas/software';
 import * as progress from './item-progress';
 
@@ -42,6 +43,8 @@
     | 'impossible'
     /** The stream broke off, was aborted, or had another status. */
     | 'broken';
+  /** Whether this gateway ended the run. */
+  readonly isAborted?: boolean;
 }
 
 /**
@@ -162,6 +165,9 @@
     }
     if (itemProgress.runEvents > 0) tracked.health.recordDuration(nowMs - itemProgress.lastEventMs);
     itemProgress.runEvents += 1;
+    if (itemProgress.runEvents === replicaTrials.EVENTS_OF_PROGRESS) {
+      replicaTrials.recordProgress(environment, tracked, itemProgress.runStartedMs);
+    }
     itemProgress.lastEventMs = nowMs;
   }
 
@@ -181,10 +187,10 @@
   private classifyOutcome(outcome: replicas.StreamOutcome): StreamRunEnd {
     const { CallStatus } = replicas;
     if (replicas.isNotRun(outcome.status)) return { kind: 'refused' };
-    if (outcome.status !== CallStatus.Answered) return { kind: 'broken' };
+    const isAborted = this.abortController.signal.aborted;
+    if (outcome.status !== CallStatus.Answered) return { kind: 'broken', isAborted };
     const { status } = outcome.answer;
-    if (status === STATUS_OK)
-      return { kind: this.abortController.signal.aborted ? 'broken' : 'whole' };
+    if (status === STATUS_OK) return { kind: isAborted ? 'broken' : 'whole', isAborted };
     if (status === STATUS_UNPROCESSABLE) return { kind: 'impossible' };
     return { kind: status === STATUS_INTERNAL_ERROR ? 'failed-answer' : 'broken' };
   }
@@ -206,9 +212,11 @@
     const { itemProgress, tracked, environment, context } = this.options;
     const nowMs = environment.nowMs();
     const isAnswered = outcome.status === replicas.CallStatus.Answered;
-    if (end.kind === 'whole') tracked.health.recordSuccess();
+    const { runStartedMs } = itemProgress;
+    tracked.health.recordEnd(runStartedMs);
+    if (end.kind === 'whole') replicaTrials.recordSuccess(environment, tracked, runStartedMs);
     this.recordReplicaFailure(outcome, nowMs);
-    environment.metrics.record('run', { end: end.kind }, nowMs - itemProgress.runStartedMs);
+    environment.metrics.record('run', { end: end.kind }, nowMs - runStartedMs);
     if (end.kind === 'whole') return;
     environment.log.info('run ended early', {
       job: context.jobId,
@@ -220,7 +228,7 @@
       events: itemProgress.events.length,
       runEvents: itemProgress.runEvents,
       version: this.version,
-      tookMs: Math.round(nowMs - itemProgress.runStartedMs),
+      tookMs: Math.round(nowMs - runStartedMs),
       ...outcome.connection,
     });
   }
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -18,7 +18,7 @@
 import type * as tableWatches from '../store/table-watch';
 import * as incarnations from './incarnation';
 import * as replicaHealths from './replica-health';
-import type * as placement from './placement';
+import type * as selections from './replica-selection';
 
 /** A registered replica and this gateway's state for it. */
 export interface TrackedReplica {
@@ -38,8 +38,14 @@
   readonly observedVersions: Map<string, number>;
 }
 
-/** A candidate for placement with the tracked replica. */
-export interface ReplicaCandidate extends placement.PlacementCandidate {
+/** What limits the selection of a replica for one request, apart from its state. */
+export type CandidateLimits = Pick<
+  selections.SelectionCandidate,
+  'isSuitable' | 'isPermitted' | 'isTried' | 'isAvoided'
+>;
+
+/** A candidate for selection with the tracked replica. */
+export interface ReplicaCandidate extends selections.SelectionCandidate {
   readonly tracked: TrackedReplica;
 }
 
@@ -127,16 +133,20 @@
     return tracked.inFlight + (isFresh ? tracked.otherGatewaysLoad : 0);
   }
 
-  /** Describes a replica for the choice in `choosePlacement`. */
-  createCandidate(tracked: TrackedReplica): ReplicaCandidate {
+  /** Describes a replica for the choice in `selectReplica`. */
+  createCandidate(tracked: TrackedReplica, limits: CandidateLimits): ReplicaCandidate {
     const { environment } = this.options;
+    const nowMs = environment.nowMs();
     return {
+      ...limits,
       id: tracked.replica.id,
       slots: tracked.replica.slots,
       load: this.getLoad(tracked),
       unitMs: tracked.health.unitMs,
       isLocal: tracked.replica.failureDomain === environment.failureDomain,
-      isEjected: tracked.health.isEjected(environment.nowMs()),
+      isEjected: tracked.health.isEjected(nowMs),
+      condition: tracked.health.getCondition(nowMs),
+      mayTry: tracked.health.mayTry(nowMs),
       tracked,
     };
   }
--- /dev/null
+++ b/packages/gateway/src/replicas/replica-trials.ts
@@ -0,0 +1,51 @@
+/**
+ * Records trials of replicas that failed recently, and their successes, for the operator as well. Log lines
+ * come once for each ejection, not for each trial.
+ */
+import type * as environments from '../types/environment';
+import type * as directories from './directory';
+import * as replicaHealths from './replica-health';
+
+/** The events of a stream that prove that a replica works; a whole stream may take many seconds. */
+export const EVENTS_OF_PROGRESS = 4;
+
+/** Records that a replica was selected, which is a trial unless it is healthy. */
+export function recordSelection(
+  environment: environments.Environment,
+  tracked: directories.TrackedReplica,
+): void {
+  const nowMs = environment.nowMs();
+  const { health, replica } = tracked;
+  const condition = health.getCondition(nowMs);
+  if (condition === replicaHealths.ReplicaCondition.Healthy) return;
+  const { id, service } = replica;
+  environment.metrics.count('replica_trials', { service, condition });
+  if (!health.beginTrial(nowMs)) return;
+  environment.log.info('replica tried again', { replica: id, service, condition });
+}
+
+/** Records a successful request. */
+export function recordSuccess(
+  environment: environments.Environment,
+  tracked: directories.TrackedReplica,
+  startedMs: number,
+): void {
+  if (tracked.health.recordSuccess(startedMs)) reportHealthy(environment, tracked);
+}
+
+/** Records that a stream has brought `EVENTS_OF_PROGRESS` events. */
+export function recordProgress(
+  environment: environments.Environment,
+  tracked: directories.TrackedReplica,
+  startedMs: number,
+): void {
+  if (tracked.health.recordProgress(startedMs)) reportHealthy(environment, tracked);
+}
+
+function reportHealthy(
+  environment: environments.Environment,
+  { replica: { id, service } }: directories.TrackedReplica,
+): void {
+  environment.metrics.count('replicas_healthy_again', { service });
+  environment.log.info('replica healthy again', { replica: id, service });
+}
--- a/packages/gateway/src/requests/call-context.ts
+++ b/packages/gateway/src/requests/call-context.ts
@@ -21,6 +21,8 @@
   ) => Promise<directories.TrackedReplica | undefined>;
   /** The failure of a request that did not run because no replica could be chosen. */
   readonly createRefusal: () => decisions.Failure;
+  /** Called when a stream that was sent at `startedMs` makes progress. */
+  readonly recordProgress?: (tracked: directories.TrackedReplica, startedMs: number) => void;
   readonly recordOutcome: (
     tracked: directories.TrackedReplica,
     outcome: replicas.CallOutcome,
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -11,7 +11,8 @@
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-import * as placement from '../replicas/placement';
+import * as selections from '../replicas/replica-selection';
+import * as replicaTrials from '../replicas/replica-trials';
 import type * as guardedRequests from '../quarantine/guarded-request';
 import type * as requestQuarantines from '../quarantine/request-quarantine';
 import * as routeTables from '../configuration/route-table';
@@ -137,6 +138,8 @@
             authorisation: caller.authorisation,
           }),
         createRefusal: () => this.createRefusal(service, stop),
+        recordProgress: (tracked, startedMs) =>
+          replicaTrials.recordProgress(environment, tracked, startedMs),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -263,6 +266,8 @@
           return chosen;
         },
         createRefusal: () => this.createRefusal(service, stop),
+        recordProgress: (tracked, startedMs) =>
+          replicaTrials.recordProgress(environment, tracked, startedMs),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -289,28 +294,32 @@
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
     const { environment, directory, permits } = this.options;
-    const excluded = new Set(tried);
+    const refused = new Set<string>();
     for (;;) {
       if (authorisation?.isValid() === false) return undefined;
-      const open = directory
-        .list(service)
-        .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica))
-        .filter(
-          ({ replica }) =>
-            software === undefined || softwares.identifySoftware(replica) === software,
-        )
-        .filter((tracked) => !needsFreeSlot || directory.getLoad(tracked) < tracked.replica.slots);
-      const allowed = guard ? guard.selectReplicas(open) : open;
-      const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
-      const draw = guard ? guard.draw(environment.random) : environment.random();
-      const chosen = placement.choosePlacement(candidates, draw)?.tracked;
-      if (!chosen || !permits.isNeeded(chosen.replica)) return chosen;
+      const candidates = directory.list(service).map((tracked) =>
+        directory.createCandidate(tracked, {
+          isSuitable:
+            software === undefined || softwares.identifySoftware(tracked.replica) === software,
+          isPermitted: !refused.has(tracked.replica.id) && !permits.isRefused(tracked.replica),
+          isTried: tried.has(tracked.replica.id),
+          isAvoided: false,
+        }),
+      );
+      const chosen = selections.selectReplica(candidates, {
+        needsRoom: needsFreeSlot,
+        draw: guard ? guard.draw(environment.random) : environment.random(),
+        narrow: guard && ((open) => narrow(open, guard)),
+      }).chosen?.tracked;
+      if (!chosen) return undefined;
+      replicaTrials.recordSelection(environment, chosen);
+      if (!permits.isNeeded(chosen.replica)) return chosen;
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
       const isAllowed = !guard || guard.selectReplicas([chosen]).length > 0;
       const isAuthorised = authorisation?.isValid() !== false;
       if (isGranted && isAllowed && isAuthorised && !chosen.isLeaving) return chosen;
-      excluded.add(chosen.replica.id);
+      refused.add(chosen.replica.id);
     }
   }
 
@@ -338,10 +347,12 @@
   ): void {
     const { environment, directory } = this.options;
     const { id, service } = tracked.replica;
+    const startedMs = environment.nowMs() - tookMs;
+    tracked.health.recordEnd(startedMs);
     directory.recordLoad(tracked, outcome.load);
     environment.metrics.count('calls', { service, outcome: outcome.status });
     if (outcome.status === replicas.CallStatus.Answered) {
-      tracked.health.recordSuccess();
+      replicaTrials.recordSuccess(environment, tracked, startedMs);
       tracked.health.recordDuration(tookMs);
       if (outcome.answer.status < FIRST_ERROR_STATUS) return;
       environment.log.info('call answered with an error', {
@@ -378,6 +389,14 @@
   }
 }
 
+function narrow(
+  open: readonly directories.ReplicaCandidate[],
+  guard: guardedRequests.GuardedRequest,
+): directories.ReplicaCandidate[] {
+  const allowed = new Set(guard.selectReplicas(open.map(({ tracked }) => tracked)));
+  return open.filter(({ tracked }) => allowed.has(tracked));
+}
+
 function describeReply(reply: streamCalls.StreamCallResult['reply']): string {
   if (reply.kind === 'streamed') return reply.isWhole ? 'streamed' : 'broken off';
   return reply.kind === 'answer' ? String(reply.answer.status) : reply.failure.code;
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -9,6 +9,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as replicaTrials from '../replicas/replica-trials';
 import * as softwares from '../replicas/software';
 import type * as callContexts from './call-context';
 import * as plannedStops from './planned-stop';
@@ -56,6 +57,12 @@
 
   private currentSoftware: string | undefined;
 
+  /** Events received from the current replica. */
+  private runEvents = 0;
+
+  /** Called once when the current replica has sent enough events. */
+  private onProgress: () => void = () => {};
+
   private hasSentHead = false;
 
   private isForwarding = false;
@@ -124,6 +131,8 @@
     }
     if (!this.hasEvents) this.recordBeginning();
     this.lastEvent = event.id;
+    this.runEvents += 1;
+    if (this.runEvents === replicaTrials.EVENTS_OF_PROGRESS) this.onProgress();
     this.reply.receive(event.raw);
   }
 
@@ -154,6 +163,8 @@
     this.currentSoftware = softwares.identifySoftware(tracked.replica);
     this.runAbort = new AbortController();
     this.sequenceFault = undefined;
+    this.runEvents = 0;
+    this.onProgress = () => this.context.recordProgress?.(tracked, startMs);
     tracked.inFlight += 1;
     const received = await this.context.replicaClient
       .stream(
