--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -194,7 +194,12 @@
       metrics,
       pause: environment.pause,
       countGateways,
-      confirmation,
+      confirmation: {
+        begin: () => confirmation.begin(),
+        get maximumWaitMs() {
+          return configuration.current?.keyRing ? confirmation.maximumWaitMs : undefined;
+        },
+      },
     });
     this.authoriser = authorisers.Authoriser.create({
       environment,
@@ -262,7 +267,10 @@
       countGateways: () => this.members.listWorkers().length,
     });
     configuration.subscribe({
-      onConfigurationChanged: () => runner.scheduleDispatch(),
+      onConfigurationChanged: ({ keyRing }) => {
+        runner.scheduleDispatch();
+        if (keyRing) metrics.gauge('configuration_age_ms', {}, () => confirmation.ageMs);
+      },
       onDesiredVersionChanged: () => weights.planOrders(),
     });
     directory.subscribe({
