Usage of organisations: counted by every gateway, reported by the one that holds the duty

Cause: the platform wants one report per window from one holder at a time, with a fencing token.

Without cloud_api.address, or without `metering` among the duties, none of this is created. The decoding of lease rows moved out of the weights task, so that both leases share it.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -10,6 +10,7 @@
 import type * as resultReaders from '../jobs/result-reader';
 import * as jobStores from '../jobs/job-store';
 import * as takeoverTasks from '../jobs/takeover-task';
+import * as meterings from '../duties/metering';
 import * as membershipTasks from '../membership/membership-task';
 import * as evidenceRows from '../quarantine/evidence-rows';
 import * as sharedQuarantines from '../quarantine/shared-quarantine';
@@ -59,6 +60,8 @@
   readonly revocationMs?: number | undefined;
   /** How long a batch job can be read after its submission, in milliseconds. */
   readonly jobRetentionMs: number;
+  /** Undefined where the deployment reports no usage. */
+  readonly metering?: meterings.MeteringSettings | undefined;
 }
 
 /** A request's reply: an answer, a failure, a stream that ended, or the acceptance of a batch job. */
@@ -128,11 +131,13 @@
       isStoreStable: () => this.store.isStable,
     });
     const { configuration } = this;
+    const metering = options.metering && this.createMetering(options.metering);
     const memberErrors = errorGuards.ErrorGuard.create(environment, 'changes of the members');
     this.members = membershipTasks.MembershipTask.create({
       environment,
       store: this.store,
       failureDomains: options.failureDomains,
+      ...(metering && { getClockOffsetMs: () => metering.clockOffsetMs }),
       onChange: () => {
         memberErrors.run(() => this.permitIssuer.onMembersChanged());
         memberErrors.run(() => this.softwareHistory.onMembersChanged());
@@ -226,6 +231,7 @@
       permits: limits.requester,
       origins,
       plannedStop: this.plannedStop,
+      metering,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
@@ -304,6 +310,7 @@
       this.softwareHistory,
       origins,
       weights,
+      ...(metering?.tasks ?? []),
     ];
     this.supervisor = runtime.Supervisor.create('gateway', tasks, log);
   }
@@ -391,6 +398,17 @@
     ];
   }
 
+  private createMetering(settings: meterings.MeteringSettings): meterings.Metering {
+    const { environment, leaseMs } = this.options;
+    return meterings.Metering.create({
+      environment,
+      store: this.store,
+      leaseMs,
+      settings,
+      members: () => this.members,
+    });
+  }
+
   private handleAuthorised(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,15 @@
   type Transaction,
   type TransactionOutcome,
 } from './types/store';
+export {
+  type DutyApi,
+  type DutyCaller,
+  type DutyCallOutcome,
+  DutyCallStatus,
+  type UsageCounts,
+  type UsageReport,
+} from './types/duty-api';
+export type { MeteringSettings } from './duties/metering';
 export { KeyRing } from './organisations/key-ring';
 export type { Organisation, OrganisationKeys } from './types/organisation';
 export type { ConnectedStore } from './store/routed-store';
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -24,6 +24,8 @@
   readonly environment: environments.Environment;
   readonly store: stores.Store;
   readonly failureDomains: readonly string[];
+  /** How far this VM's wall clock is ahead of the store's clock; the other gateways are told. */
+  readonly getClockOffsetMs?: () => number | undefined;
   /** Called after the set of members has changed. */
   readonly onChange: () => void;
   /** Called when this gateway's membership is valid, for the first time or again after a gap. */
@@ -177,8 +179,16 @@
     const { environment } = this.options;
     const start = this.validity.startRenewal();
     const { incarnation, address, capacity, isStopping, issuesPermits } = this.ownRecord;
+    const clockOffsetMs = this.options.getClockOffsetMs?.();
     const value = Buffer.from(
-      JSON.stringify({ incarnation, address, capacity, isStopping, issuesPermits }),
+      JSON.stringify({
+        incarnation,
+        address,
+        capacity,
+        isStopping,
+        issuesPermits,
+        ...(clockOffsetMs !== undefined && { clockOffsetMs }),
+      }),
     );
     if (!(await this.writeRow({ writes: [{ ...this.rowAddress, value }], removals: [] })))
       return false;
@@ -270,7 +280,7 @@
 /** Decodes a row; undefined when no gateway can have written it. */
 function decodeRecord(row: stores.Row): membership.MemberRecord | undefined {
   const fields = values.getFields(values.parseJson(row.value));
-  const { incarnation, address, capacity, isStopping, issuesPermits } = fields;
+  const { incarnation, address, capacity, isStopping, issuesPermits, clockOffsetMs } = fields;
   if (!values.isText(incarnation) || !values.isText(address)) return undefined;
   const isCapacity = values.isNumber(capacity) && capacity >= 0 && capacity <= MAXIMUM_CAPACITY;
   return {
@@ -281,6 +291,7 @@
     capacity: isCapacity ? capacity : 0,
     isStopping: isStopping === true,
     issuesPermits: issuesPermits === true,
+    ...(values.isNumber(clockOffsetMs) && { clockOffsetMs }),
     revision: row.revision,
   };
 }
--- a/packages/gateway/src/membership/membership.ts
+++ b/packages/gateway/src/membership/membership.ts
@@ -25,6 +25,8 @@
   readonly isStopping: boolean;
   /** Whether it can issue permits for replicas that limit their rate. */
   readonly issuesPermits: boolean;
+  /** How far its wall clock is ahead of the store's clock; only where the deployment needs it. */
+  readonly clockOffsetMs?: number | undefined;
   /** Revision of the row; it changes with every renewal. */
   readonly revision: number;
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -8,6 +8,7 @@
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as organisations from '../types/organisation';
+import type * as meterings from '../duties/metering';
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
@@ -30,6 +31,8 @@
   readonly permits: permitRequesters.PermitRequester;
   readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
   readonly plannedStop: plannedStops.PlannedStop;
+  /** Counts the calls of callers' requests; undefined where the deployment reports no usage. */
+  readonly metering?: Pick<meterings.Metering, 'meter'> | undefined;
 }
 
 /** A request that the gateway itself makes. */
@@ -124,7 +127,7 @@
     const guard = quarantine.guard(request);
     const call = streamCalls.StreamCall.create(
       {
-        replicaClient: guard,
+        replicaClient: this.meter(guard, caller.authorisation),
         nowMs: environment.nowMs,
         stop,
         chooseReplica: (tried, startedBy) =>
@@ -160,6 +163,13 @@
     return reply;
   }
 
+  private meter(
+    sender: replicas.RequestSender,
+    authorisation: organisations.Authorisation | undefined,
+  ): replicas.RequestSender {
+    return this.options.metering?.meter(sender, authorisation?.organisation.name) ?? sender;
+  }
+
   private refuse(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
@@ -245,7 +255,7 @@
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
     const call = plainCalls.PlainCall.create(
       {
-        replicaClient: guard ?? replicaClient,
+        replicaClient: guard ? this.meter(guard, authorisation) : replicaClient,
         nowMs: environment.nowMs,
         stop,
         chooseReplica: async (tried) => {
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -7,7 +7,7 @@
 import type * as activeConfigurations from '../configuration/active-configuration';
 import * as errorGuards from '../core/error-guard';
 import * as suspensionDetectors from '../core/suspension-detector';
-import * as values from '../store/json-value';
+import * as leaseRows from '../store/lease-row';
 import * as oddRows from '../store/odd-rows';
 import type * as environments from '../types/environment';
 import * as replicas from '../types/replica';
@@ -27,8 +27,6 @@
 
 /** The row of the lease under which orders are sent. */
 const LEASE: stores.RowAddress = { table: 'leases', partition: 'weights', key: 'weights' };
-/** No VM has this name. */
-const UNKNOWN_HOLDER = '';
 /** Cycles per duration of the lease; each cycle renews, claims or checks the lease. */
 const CYCLES_PER_LEASE = 4;
 /** With this many gateways, those without the lease check it half as often. */
@@ -323,10 +321,10 @@
   }
 
   private decode(row: stores.Row): decisions.LeaseRow {
-    const lease = decodeLease(row);
+    const lease = leaseRows.decodeLease(row);
     if (lease) return lease;
     this.oddRows.report(row, 'the lease of orders has to expire');
-    return createUnknownLease(row);
+    return leaseRows.createUnknownLease(row);
   }
 
   /**
@@ -339,19 +337,3 @@
     return { kind: 'write', row: { ...step.row, fence: row.fence + 1, renewal: 0 } };
   }
 }
-
-/** Decodes the row of the lease; undefined when no gateway can have written it. */
-function decodeLease(row: stores.Row): decisions.LeaseRow | undefined {
-  const { holder, fence, renewal } = values.getFields(values.parseJson(row.value));
-  if (!values.isText(holder) || !values.isWhole(renewal)) return undefined;
-  // Each fence takes a transaction, so none is above the revision of its row.
-  return values.isWhole(fence, 1, row.revision) ? { holder, fence, renewal } : undefined;
-}
-
-/**
- * The lease that an odd row stands for: one of an unknown holder, which has to expire first, with the
- * highest fence that can have been in use.
- */
-function createUnknownLease(row: stores.Row): decisions.LeaseRow {
-  return { holder: UNKNOWN_HOLDER, fence: row.revision, renewal: 0 };
-}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,3 +5,4 @@
 export { CallerStandin } from './core/caller';
 export { TrainerStandin } from './core/trainer';
 export { MemoryStore, type StoreFaults } from './rows/memory-store';
+export { MemoryDutyApi, type RecordedCall } from './duties/memory-duty-api';
