--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -8,6 +8,7 @@
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as organisations from '../types/organisation';
+import type * as meterings from '../duties/metering';
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
@@ -31,6 +32,8 @@
   readonly permits: permitRequesters.PermitRequester;
   readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
   readonly plannedStop: plannedStops.PlannedStop;
+  /** Counts the calls of callers' requests; undefined where the deployment reports no usage. */
+  readonly metering?: Pick<meterings.Metering, 'meter'> | undefined;
 }
 
 /** A request that the gateway itself makes. */
@@ -125,7 +128,7 @@
     const guard = quarantine.guard(request);
     const call = streamCalls.StreamCall.create(
       {
-        replicaClient: guard,
+        replicaClient: this.meter(guard, caller.authorisation),
         nowMs: environment.nowMs,
         stop,
         chooseReplica: (tried, startedBy) =>
@@ -163,6 +166,13 @@
     return reply;
   }
 
+  private meter(
+    sender: replicas.RequestSender,
+    authorisation: organisations.Authorisation | undefined,
+  ): replicas.RequestSender {
+    return this.options.metering?.meter(sender, authorisation?.organisation.name) ?? sender;
+  }
+
   private refuse(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
@@ -248,7 +258,7 @@
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
     const call = plainCalls.PlainCall.create(
       {
-        replicaClient: guard ?? replicaClient,
+        replicaClient: guard ? this.meter(guard, authorisation) : replicaClient,
         nowMs: environment.nowMs,
         stop,
         chooseReplica: async (tried) => {
