--- a/packages/gateway/__tests__/preferred-replicas.test.ts
+++ b/packages/gateway/__tests__/preferred-replicas.test.ts
@@ -5,6 +5,8 @@
 import * as decisions from '@azureworks/decisions';
 import * as placement from '../src/replicas/placement';
 import * as preferredReplicas from '../src/replicas/preferred-replicas';
+import * as systems from './support/test-system';
+import * as time from './support/virtual-time';
 
 const DOMAINS = 5;
 const IDLE_TIMEOUT_MS = 4000;
@@ -128,6 +130,7 @@
 
   it.each([
     ['slow', { unitMs: 100 }],
+    ['slow at the moment', { workFactor: 2 }],
     ['filling up', { load: 6 }],
   ])('are left for all when they are %s', (_case, avoided) => {
     expect(narrow(createCandidates(14, { unitMs: 40 }), avoided)).toHaveLength(14);
@@ -149,3 +152,44 @@
     expect(sizes.filter((size) => size === 14)).toHaveLength(2);
   });
 });
+
+describe('plain requests of a caller every second for a service of 14 replicas', () => {
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('go to two replicas, apart from the one that explores', async () => {
+    jest.useFakeTimers();
+    const system = systems.TestSystem.create();
+    system.configure(systems.createConfiguration(1));
+    createCandidates(14).forEach(({ id }) => system.addReplica(id, { isPlain: true }));
+    const front = await system.start('vm', 'first');
+    await time.advance(3000);
+    for (let count = 0; count < 15; count += 1) {
+      front.handle(
+        {
+          request: {
+            id: `attempt-${count}`,
+            method: 'POST',
+            target: '/plain/x',
+            host: systems.HOST,
+            headers: [],
+            body: Buffer.from(`body ${count}`),
+          },
+          path: '/plain/x',
+          deadlineMs: 800,
+          receivedMs: time.nowMs(),
+          signal: new AbortController().signal,
+          afterEvent: undefined,
+        },
+        { begin: () => {}, receive: () => {} },
+      );
+      await time.advance(1000);
+    }
+    await system.stopAll();
+    expect(system.replicas.calls).toHaveLength(15);
+    expect(new Set(system.replicas.calls.map(({ replica }) => replica)).size).toBeLessThanOrEqual(
+      2,
+    );
+  });
+});
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -19,6 +19,8 @@
   ignoresResume: boolean;
   /** Whether it is unresponsive. */
   isSilent: boolean;
+  /** Whether it resets the connection of each request after `answerMs`. */
+  resetsRequests: boolean;
   /** How many of the next streams are answered with an internal error. */
   failedStreams: number;
   /** Time until such an answer. */
@@ -72,6 +74,9 @@
     readonly startedMs: number;
   }[] = [];
 
+  /** The organisations that replicas were told, by request. */
+  readonly organisations = new Map<string, gateway.ReplicaRequest['organisation']>();
+
   /** Bodies of the requests that crash each replica that runs them. */
   readonly deadlyBodies = new Set<string>();
 
@@ -104,6 +109,7 @@
         breakAfterEvents: undefined,
         ignoresResume: false,
         isSilent: false,
+        resetsRequests: false,
         failedStreams: 0,
         streamFailureMs: 100,
         status: 200,
@@ -126,6 +132,7 @@
       return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
     }
     this.calls.push({ replica: replica.id, id: request.id, startedMs: time.nowMs() });
+    this.organisations.set(request.id, request.organisation);
     const connection = this.connect(replica.id);
     const outcome = await Promise.race([connection.lost, this.run(replica, request, options)]);
     connection.close();
@@ -195,6 +202,7 @@
     if (await pauseUnlessAborted(behaviour.answerMs, options.signal)) {
       return { status: CallStatus.Cancelled, reason: 'aborted' };
     }
+    if (behaviour.resetsRequests) return createReset();
     options.onSignals?.(createSignals(behaviour));
     const { status } = behaviour;
     const signature = status === 200 ? `signature of ${request.id}` : undefined;
@@ -209,6 +217,7 @@
     if (this.isDown(replica.id)) {
       return { status: CallStatus.NotRun, reason: 'ECONNREFUSED', isSilent: true };
     }
+    this.organisations.set(stream[1].id, stream[1].organisation);
     const connection = this.connect(replica.id);
     const outcome = await Promise.race([connection.lost, this.runStream(...stream)]);
     connection.close();
@@ -245,6 +254,10 @@
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
       return { status: CallStatus.Broken, reason: 'silent for too long', isSilent: true };
     }
+    if (behaviour.resetsRequests) {
+      const isAborted = await pauseUnlessAborted(behaviour.answerMs, options.signal);
+      return isAborted ? { status: CallStatus.Cancelled, reason: 'aborted' } : createReset();
+    }
     if (behaviour.failedStreams > 0) {
       behaviour.failedStreams -= 1;
       const isAborted = await pauseUnlessAborted(behaviour.streamFailureMs, options.signal);
@@ -316,6 +329,10 @@
   }
 }
 
+function createReset(): gateway.CallOutcome {
+  return { status: CallStatus.Broken, reason: 'ECONNRESET', isConnectionLost: true };
+}
+
 function createSignals({ rateLimit, isLeaving }: ReplicaBehaviour): gateway.ReplicaSignals {
   return { rateLimit, isLeaving };
 }
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -8,11 +8,13 @@
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as organisations from '../types/organisation';
+import type * as meterings from '../duties/metering';
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
-import * as placement from '../replicas/placement';
 import * as preferredReplicas from '../replicas/preferred-replicas';
+import * as selections from '../replicas/replica-selection';
+import * as replicaTrials from '../replicas/replica-trials';
 import type * as guardedRequests from '../quarantine/guarded-request';
 import type * as requestQuarantines from '../quarantine/request-quarantine';
 import * as routeTables from '../configuration/route-table';
@@ -31,6 +33,8 @@
   readonly permits: permitRequesters.PermitRequester;
   readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
   readonly plannedStop: plannedStops.PlannedStop;
+  /** Counts the calls of callers' requests; undefined where the deployment reports no usage. */
+  readonly metering?: Pick<meterings.Metering, 'meter'> | undefined;
 }
 
 /** A request that the gateway itself makes. */
@@ -131,7 +135,7 @@
     const guard = quarantine.guard(request);
     const call = streamCalls.StreamCall.create(
       {
-        replicaClient: guard,
+        replicaClient: this.meter(guard, caller.authorisation),
         nowMs: environment.nowMs,
         stop,
         chooseReplica: (tried, startedBy) =>
@@ -144,6 +148,8 @@
             authorisation: caller.authorisation,
           }),
         createRefusal: () => this.createRefusal(service, stop),
+        recordProgress: (tracked, startedMs) =>
+          replicaTrials.recordProgress(environment, tracked, startedMs),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -167,6 +173,13 @@
     return reply;
   }
 
+  private meter(
+    sender: replicas.RequestSender,
+    authorisation: organisations.Authorisation | undefined,
+  ): replicas.RequestSender {
+    return this.options.metering?.meter(sender, authorisation?.organisation.name) ?? sender;
+  }
+
   private refuse(
     caller: exchanges.CallerRequest,
     route: configurations.Route,
@@ -253,7 +266,7 @@
     const preference = this.preferredReplicas.countRequest(service ?? '', environment.nowMs());
     const call = plainCalls.PlainCall.create(
       {
-        replicaClient: guard ?? replicaClient,
+        replicaClient: guard ? this.meter(guard, authorisation) : replicaClient,
         nowMs: environment.nowMs,
         stop,
         chooseReplica: async (tried) => {
@@ -273,6 +286,8 @@
           return chosen;
         },
         createRefusal: () => this.createRefusal(service, stop),
+        recordProgress: (tracked, startedMs) =>
+          replicaTrials.recordProgress(environment, tracked, startedMs),
         recordOutcome: (tracked, outcome, tookMs) =>
           this.recordOutcome(tracked, request.id, outcome, tookMs),
       },
@@ -300,29 +315,32 @@
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
     const { environment, directory, permits } = this.options;
-    const excluded = new Set(tried);
+    const refused = new Set<string>();
     for (;;) {
       if (authorisation?.isValid() === false) return undefined;
-      const open = directory
-        .list(service)
-        .filter(({ replica }) => !excluded.has(replica.id) && !permits.isRefused(replica))
-        .filter(
-          ({ replica }) =>
-            software === undefined || softwares.identifySoftware(replica) === software,
-        )
-        .filter((tracked) => !needsFreeSlot || directory.getLoad(tracked) < tracked.replica.slots);
-      const allowed = guard ? guard.selectReplicas(open) : open;
-      const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
-      const draw = guard ? guard.draw(environment.random) : environment.random();
-      const preferred = guard?.isSuspect ? candidates : prefer(candidates);
-      const chosen = placement.choosePlacement(preferred, draw)?.tracked;
-      if (!chosen || !permits.isNeeded(chosen.replica)) return chosen;
+      const candidates = directory.list(service).map((tracked) =>
+        directory.createCandidate(tracked, {
+          isSuitable:
+            software === undefined || softwares.identifySoftware(tracked.replica) === software,
+          isPermitted: !refused.has(tracked.replica.id) && !permits.isRefused(tracked.replica),
+          isTried: tried.has(tracked.replica.id),
+          isAvoided: false,
+        }),
+      );
+      const chosen = selections.selectReplica(candidates, {
+        needsRoom: needsFreeSlot,
+        draw: guard ? guard.draw(environment.random) : environment.random(),
+        narrow: (open) => (guard?.isSuspect ? narrow(open, guard) : prefer(open)),
+      }).chosen?.tracked;
+      if (!chosen) return undefined;
+      replicaTrials.recordSelection(environment, chosen);
+      if (!permits.isNeeded(chosen.replica)) return chosen;
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
       const isAllowed = !guard || guard.selectReplicas([chosen]).length > 0;
       const isAuthorised = authorisation?.isValid() !== false;
       if (isGranted && isAllowed && isAuthorised && !chosen.isLeaving) return chosen;
-      excluded.add(chosen.replica.id);
+      refused.add(chosen.replica.id);
     }
   }
 
@@ -350,10 +368,12 @@
   ): void {
     const { environment, directory } = this.options;
     const { id, service } = tracked.replica;
+    const startedMs = environment.nowMs() - tookMs;
+    tracked.health.recordEnd(startedMs);
     directory.recordLoad(tracked, outcome.load);
     environment.metrics.count('calls', { service, outcome: outcome.status });
     if (outcome.status === replicas.CallStatus.Answered) {
-      tracked.health.recordSuccess();
+      replicaTrials.recordSuccess(environment, tracked, startedMs);
       tracked.health.recordDuration(tookMs);
       if (outcome.answer.status < FIRST_ERROR_STATUS) return;
       environment.log.info('call answered with an error', {
@@ -390,6 +410,14 @@
   }
 }
 
+function narrow(
+  open: readonly directories.ReplicaCandidate[],
+  guard: guardedRequests.GuardedRequest,
+): directories.ReplicaCandidate[] {
+  const allowed = new Set(guard.selectReplicas(open.map(({ tracked }) => tracked)));
+  return open.filter(({ tracked }) => allowed.has(tracked));
+}
+
 function describeReply(reply: streamCalls.StreamCallResult['reply']): string {
   if (reply.kind === 'streamed') return reply.isWhole ? 'streamed' : 'broken off';
   return reply.kind === 'answer' ? String(reply.answer.status) : reply.failure.code;
