Orders of weights need fewer reports

Cause: responses to orders and reports carry no id, so each takes a connection that has carried none. Change: the number of accepted orders is remembered from the last report and the orders since, within a tenure; the first poll comes when the report can tell the end of the load.

--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -13,6 +13,8 @@
 import * as replicas from '../types/replica';
 import * as stores from '../types/store';
 import type * as directories from '../replicas/directory';
+import * as incarnations from '../replicas/incarnation';
+import * as orderCounts from './order-counts';
 import * as weightsPlan from './weights-plan';
 
 export interface WeightsTaskOptions {
@@ -33,8 +35,13 @@
 const GATEWAYS_TO_HALVE_CHECKS = 30;
 /** Time limit for the answer to an order or a report request. */
 const REPLICA_DEADLINE_MS = 500;
-/** Expected duration of a load; the first poll of a loading replica happens after it. */
+/** Expected duration of a load. */
 const EXPECTED_LOAD_MS = 950;
+/**
+ * How much older than its response a replica's report may be. The first poll of a loading replica comes so
+ * much later than the expected end of its load: an earlier one would find it busy, and cost a connection.
+ */
+const REPORT_LAG_MS = 200;
 /** Interval between polls of a loading replica; also the delay before a busy one is retried. */
 const LOAD_POLL_INTERVAL_MS = 200;
 /** An order that has not led to the version after this time is given up; a new one may follow. */
@@ -57,6 +64,8 @@
 
   private readonly ordersInProgress = new Map<string, OrderInProgress>();
 
+  private readonly orderCounts = orderCounts.OrderCounts.create();
+
   private timer: NodeJS.Timeout | undefined;
 
   private isStopped = false;
@@ -153,14 +162,17 @@
     if (!tracked) return;
     const startMs = environment.nowMs();
     this.ordersInProgress.set(order.replicaId, { order, startMs });
-    const state = await replicaClient.fetchReport(tracked.replica, REPLICA_DEADLINE_MS);
-    if (state) this.recordVersions(tracked, state.versions);
+    const key = incarnations.createIncarnationKey(tracked.replica);
+    const knownCount = this.orderCounts.find(key, fence);
+    // Each report takes a connection of its own, so it is left out where its answer is known already.
+    const state = knownCount === undefined ? await this.fetchReport(tracked, fence) : undefined;
     const held = directory.getVersion(tracked, order.model) ?? 0;
     const isNeeded = held < order.version && !state?.isBusy;
     if (!isNeeded || this.getValidFence() !== fence) {
       this.endOrderAfter(order.replicaId, state?.isBusy ? LOAD_POLL_INTERVAL_MS : 0);
       return;
     }
+    const acceptedOrders = knownCount ?? state?.acceptedOrders;
     const status = await replicaClient.order(
       tracked.replica,
       {
@@ -168,10 +180,11 @@
         waitsForRunningRequests: this.isSingleVersion(order.model),
         holder: environment.vm,
         fence,
-        acceptedOrders: state?.acceptedOrders,
+        acceptedOrders,
       },
       REPLICA_DEADLINE_MS,
     );
+    this.orderCounts.recordOrder(key, fence, { acceptedOrders, status });
     environment.metrics.count('weight_orders', { outcome: status });
     environment.log.info('weights ordered', {
       replica: order.replicaId,
@@ -179,7 +192,7 @@
       version: order.version,
       held,
       fence,
-      acceptedOrders: state?.acceptedOrders,
+      acceptedOrders,
       outcome: status,
       tookMs: Math.round(environment.nowMs() - startMs),
     });
@@ -195,7 +208,7 @@
     if (status === OrderStatus.Accepted) {
       const untilMs = this.options.environment.nowMs() + EXPECTED_LOAD_MS;
       tracked.loadingUntilMs.set(order.model, untilMs);
-      setTimeout(() => this.poll(tracked, order), EXPECTED_LOAD_MS);
+      setTimeout(() => this.poll(tracked, order), EXPECTED_LOAD_MS + REPORT_LAG_MS);
       return;
     }
     if (status === OrderStatus.AlreadyHolds) {
@@ -205,7 +218,7 @@
     }
     if (status === OrderStatus.Fenced) this.lease.drop();
     if (status === OrderStatus.Unknown)
-      setTimeout(() => this.poll(tracked, order), EXPECTED_LOAD_MS);
+      setTimeout(() => this.poll(tracked, order), EXPECTED_LOAD_MS + REPORT_LAG_MS);
     else this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
   }
 
@@ -226,11 +239,10 @@
     tracked: directories.TrackedReplica,
     order: weightsPlan.PlannedOrder,
   ): Promise<void> {
-    const { environment, directory, replicaClient } = this.options;
+    const { environment, directory } = this.options;
     const loading = this.ordersInProgress.get(order.replicaId);
     if (!loading || this.isStopped) return;
-    const state = await replicaClient.fetchReport(tracked.replica, REPLICA_DEADLINE_MS);
-    if (state) this.recordVersions(tracked, state.versions);
+    const state = await this.fetchReport(tracked, this.getValidFence());
     const isLoaded = (directory.getVersion(tracked, order.model) ?? 0) >= order.version;
     const ageMs = environment.nowMs() - loading.startMs;
     const isGone = directory.get(order.replicaId) !== tracked;
@@ -256,6 +268,22 @@
     setTimeout(() => this.poll(tracked, order), LOAD_POLL_INTERVAL_MS);
   }
 
+  /** @param fence under which the next order to the replica will be sent; undefined: none */
+  private async fetchReport(
+    tracked: directories.TrackedReplica,
+    fence: number | undefined,
+  ): Promise<replicas.ReplicaReport | undefined> {
+    const { replicaClient } = this.options;
+    const state = await replicaClient.fetchReport(tracked.replica, REPLICA_DEADLINE_MS);
+    if (!state) return undefined;
+    this.recordVersions(tracked, state.versions);
+    const key = incarnations.createIncarnationKey(tracked.replica);
+    if (fence !== undefined && !state.isBusy) {
+      this.orderCounts.recordReport(key, fence, state.acceptedOrders);
+    }
+    return state;
+  }
+
   private recordVersions(
     tracked: directories.TrackedReplica,
     versions: ReadonlyMap<string, number>,
