--- a/packages/gateway/__tests__/run-backoff.test.ts
+++ b/packages/gateway/__tests__/run-backoff.test.ts
@@ -22,6 +22,7 @@
   } {
     const environment = time.createEnvironment('vm');
     const directory = plainDirectories.createDirectory(environment, ['a']);
+    const [tracked] = directory.list(plainDirectories.SERVICE);
     let elapsedMs = Infinity;
     const backoff = runBackoffs.RunBackoff.create({
       environment,
@@ -33,7 +34,7 @@
     const measure = async (end: runBackoffs.EndedRun): Promise<number> => {
       const startMs = time.nowMs();
       elapsedMs = startMs;
-      backoff.recordBreak(ITEM, directory.get('a'), end);
+      backoff.recordBreak(ITEM, tracked, end);
       if (!backoff.isWaiting(ITEM, startMs)) return 0;
       await time.advance(2000);
       expect(backoff.isWaiting(ITEM, elapsedMs)).toBe(false);
@@ -56,8 +57,9 @@
 
   it('does not apply when this gateway ended the run, or as soon as the replica has left', async () => {
     const { directory, backoff, measure } = create();
+    const [tracked] = directory.list(plainDirectories.SERVICE);
     expect(await measure({ ...WITHOUT_PROGRESS, isAborted: true })).toBe(0);
-    backoff.recordBreak(ITEM, directory.get('a'), WITHOUT_PROGRESS);
+    backoff.recordBreak(ITEM, tracked, WITHOUT_PROGRESS);
     expect(backoff.isWaiting(ITEM, time.nowMs())).toBe(true);
     directory.onSnapshot([]);
     expect(backoff.isWaiting(ITEM, time.nowMs())).toBe(false);
