--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -12,6 +12,7 @@
 import type * as permitRequesters from '../limits/permit-requester';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as preferredReplicas from '../replicas/preferred-replicas';
 import * as selections from '../replicas/replica-selection';
 import * as replicaTrials from '../replicas/replica-trials';
 import type * as guardedRequests from '../quarantine/guarded-request';
@@ -56,6 +57,8 @@
   readonly software?: string | undefined;
   /** Whether the request is not to queue at a replica, behind others or before them. */
   readonly needsFreeSlot?: boolean;
+  /** Narrows the choice to the replicas that this gateway prefers. */
+  readonly prefer?: preferredReplicas.CandidateFilter;
   /** Without one the request needs none; one that is no longer valid gets no replica. */
   readonly authorisation?: organisations.Authorisation | undefined;
 }
@@ -77,7 +80,11 @@
 
 /** Forwards plain and streaming requests. */
 export class Forwarder {
-  private constructor(private readonly options: ForwarderOptions) {}
+  private readonly preferredReplicas: preferredReplicas.PreferredReplicas;
+
+  private constructor(private readonly options: ForwarderOptions) {
+    this.preferredReplicas = preferredReplicas.PreferredReplicas.create(options.environment.vm);
+  }
 
   static create(options: ForwarderOptions): Forwarder {
     return new Forwarder(options);
@@ -256,6 +263,7 @@
     const { environment, replicaClient } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
+    const preference = this.preferredReplicas.countRequest(service ?? '', environment.nowMs());
     const call = plainCalls.PlainCall.create(
       {
         replicaClient: guard ? this.meter(guard, authorisation) : replicaClient,
@@ -270,8 +278,10 @@
             tried,
             guard,
             needsFreeSlot,
+            prefer: preference.narrow,
             authorisation,
           });
+          if (chosen) preference.recordChoice(chosen.replica.id);
           if (chosen) onPlaced?.();
           return chosen;
         },
@@ -300,6 +310,7 @@
     guard,
     software,
     needsFreeSlot = false,
+    prefer = (candidates) => candidates,
     authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
@@ -322,7 +333,10 @@
       const chosen = selections.selectReplica(candidates, {
         needsRoom: needsFreeSlot,
         draw: guard ? guard.draw(environment.random) : environment.random(),
-        narrow: guard && ((open) => narrow(open, guard)),
+        narrow: (open) => {
+          const allowed = guard ? narrow(open, guard) : open;
+          return guard?.isSuspect ? allowed : prefer(allowed);
+        },
       }).chosen?.tracked;
       if (!chosen) return undefined;
       replicaTrials.recordSelection(environment, chosen);
