--- a/packages/gateway/src/replicas/preferred-replicas.ts
+++ b/packages/gateway/src/replicas/preferred-replicas.ts
@@ -18,6 +18,8 @@
 
 /** A candidate with its failure domain. */
 export interface PreferenceCandidate extends placement.PlacementCandidate {
+  /** How long work takes there now relative to the usual time; undefined where it is not known. */
+  readonly workFactor?: number | undefined;
   readonly tracked: { readonly replica: { readonly failureDomain: string } };
 }
 
@@ -234,7 +236,8 @@
 function findShortestMs(candidates: readonly PreferenceCandidate[], unitMs: number): number {
   return candidates.reduce((shortestMs, candidate) => {
     const taken = (candidate.load + 1) / Math.max(1, candidate.slots * FREE_SHARE);
-    const ownMs = Math.max(MINIMUM_UNIT_MS, candidate.unitMs ?? unitMs);
+    const { workFactor = 1 } = candidate;
+    const ownMs = Math.max(MINIMUM_UNIT_MS, (candidate.unitMs ?? unitMs) * workFactor);
     return Math.min(shortestMs, ownMs * Math.max(1, taken));
   }, Infinity);
 }
