Decide on extra attempts from recent latencies, within a budget

Hedging after a fixed delay ignores how long requests to a route usually take, and nothing limits it when everything becomes slow. The decision takes a quantile of the recent latencies as the delay, and a token bucket that starts empty limits extra attempts to a share of the requests.

--- a/packages/decisions/src/core/retry-budget.ts
+++ b/packages/decisions/src/core/retry-budget.ts
@@ -14,9 +14,10 @@
   /**
    * @param share retries allowed per first attempt, for example 0.2
    * @param capacity unused retries that are kept, so that retries are possible under light traffic
+   * @param initial retries that are possible before the first attempts were recorded
    */
-  static create(share: number, capacity: number): RetryBudget {
-    return new RetryBudget(share, capacity, capacity);
+  static create(share: number, capacity: number, initial = capacity): RetryBudget {
+    return new RetryBudget(share, capacity, initial);
   }
 
   setShare(share: number): void {
@@ -34,4 +35,9 @@
     this.tokens -= 1;
     return true;
   }
+
+  /** Returns a retry that was taken and not made. */
+  giveBack(): void {
+    this.tokens = Math.min(this.capacity, this.tokens + 1);
+  }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,6 +33,13 @@
 export { DepartureSource, Departures } from './core/departures';
 export { PermitBudget, type PermitDecision, type PermitRequest } from './core/permit-budget';
 export { RecentDurations } from './core/recent-durations';
+export {
+  type ExtraAttemptSettings,
+  ExtraAttempts,
+  type SlowRequest,
+  WithheldReason,
+} from './core/extra-attempts';
+export { RecentLatencies } from './core/recent-latencies';
 export { RetryBudget } from './core/retry-budget';
 export { isRunTooStale, isFresh, measureStaleness } from './core/staleness';
 export { StopDeadline } from './core/stop-deadline';
