Send extra attempts to free replicas where the settings allow a share

A slow plain request is sent to a second, healthy replica with a free slot once the decision allows it. The choice keeps the checks of permits, of the quarantine and of the key. The attempt that still runs counts as the retry of one that fails; an attempt is retried as before when it runs alone. Without the setting, hedging after the fixed delay is unchanged.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -59,6 +59,8 @@
   readonly revocationMs?: number | undefined;
   /** How long a batch job can be read after its submission, in milliseconds. */
   readonly jobRetentionMs: number;
+  /** Second attempts at slow requests within a budget; undefined: after a fixed delay, without one. */
+  readonly extraAttempts?: decisions.ExtraAttemptSettings | undefined;
 }
 
 /** A request's reply: an answer, a failure, a stream that ended, or the acceptance of a batch job. */
@@ -226,6 +228,7 @@
       permits: limits.requester,
       origins,
       plannedStop: this.plannedStop,
+      extraAttempts: options.extraAttempts,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -5,6 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as configurations from '../types/configuration';
 import type * as activeConfigurations from '../configuration/active-configuration';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as organisations from '../types/organisation';
@@ -17,6 +18,7 @@
 import * as routeTables from '../configuration/route-table';
 import * as softwares from '../replicas/software';
 import type * as streamOrigins from '../streams/stream-origins';
+import * as extraAttempts from './extra-attempt';
 import * as plainCalls from './plain-call';
 import * as plannedStops from './planned-stop';
 import * as streamCalls from './stream-call';
@@ -30,6 +32,8 @@
   readonly permits: permitRequesters.PermitRequester;
   readonly origins: Pick<streamOrigins.StreamOrigins, 'find' | 'record'>;
   readonly plannedStop: plannedStops.PlannedStop;
+  /** Undefined: slow idempotent requests are hedged after a fixed delay, without a budget. */
+  readonly extraAttempts?: decisions.ExtraAttemptSettings | undefined;
 }
 
 /** A request that the gateway itself makes. */
@@ -52,6 +56,8 @@
   readonly software?: string | undefined;
   /** Whether the request is not to queue at a replica, behind others or before them. */
   readonly needsFreeSlot?: boolean;
+  /** Whether no replica is better than one that is ejected. */
+  readonly needsHealthy?: boolean;
   /** Without one the request needs none; one that is no longer valid gets no replica. */
   readonly authorisation?: organisations.Authorisation | undefined;
 }
@@ -73,7 +79,15 @@
 
 /** Forwards plain and streaming requests. */
 export class Forwarder {
-  private constructor(private readonly options: ForwarderOptions) {}
+  private readonly extraAttempts: decisions.ExtraAttempts | undefined;
+
+  private readonly extraAttemptErrors: errorGuards.ErrorGuard;
+
+  private constructor(private readonly options: ForwarderOptions) {
+    const { extraAttempts: settings, environment } = options;
+    this.extraAttempts = settings && decisions.ExtraAttempts.create(settings, environment);
+    this.extraAttemptErrors = errorGuards.ErrorGuard.create(environment, 'extra attempts');
+  }
 
   static create(options: ForwarderOptions): Forwarder {
     return new Forwarder(options);
@@ -243,22 +257,17 @@
     const { environment, replicaClient } = this.options;
     const service = routeTables.chooseService(route, environment.random());
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
+    const isIdempotent = route.kind === configurations.RouteKind.Idempotent;
+    const hedgeDelayMs = route.latencyObjectiveMs * HEDGE_DELAY_SHARE;
+    const choice = { service, priority: route.priority, guard, authorisation };
     const call = plainCalls.PlainCall.create(
       {
         replicaClient: guard ?? replicaClient,
         nowMs: environment.nowMs,
         stop,
         chooseReplica: async (tried) => {
-          const { priority } = route;
           const needsFreeSlot = guard === undefined;
-          const chosen = await this.chooseReplica({
-            service,
-            priority,
-            tried,
-            guard,
-            needsFreeSlot,
-            authorisation,
-          });
+          const chosen = await this.chooseReplica({ ...choice, tried, needsFreeSlot });
           if (chosen) onPlaced?.();
           return chosen;
         },
@@ -270,9 +279,24 @@
         request,
         signal,
         ...deadlines,
-        isIdempotent: route.kind === configurations.RouteKind.Idempotent,
+        isIdempotent,
         maximumAttempts: Math.max(1, route.maximumAttempts),
-        hedgeDelayMs: route.latencyObjectiveMs * HEDGE_DELAY_SHARE,
+        hedgeDelayMs: this.extraAttempts ? undefined : hedgeDelayMs,
+        // The gateway's own requests have none: they can wait.
+        extraAttempt:
+          this.extraAttempts &&
+          guard &&
+          extraAttempts.ExtraAttempt.create({
+            environment,
+            rules: this.extraAttempts,
+            errors: this.extraAttemptErrors,
+            request,
+            route,
+            isIdempotent,
+            fixedDelayMs: hedgeDelayMs,
+            chooseReplica: (tried) =>
+              this.chooseReplica({ ...choice, tried, needsFreeSlot: true, needsHealthy: true }),
+          }),
       },
     );
     return call.run();
@@ -285,6 +309,7 @@
     guard,
     software,
     needsFreeSlot = false,
+    needsHealthy = false,
     authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
@@ -299,7 +324,8 @@
           ({ replica }) =>
             software === undefined || softwares.identifySoftware(replica) === software,
         )
-        .filter((tracked) => !needsFreeSlot || directory.getLoad(tracked) < tracked.replica.slots);
+        .filter((tracked) => !needsFreeSlot || directory.getLoad(tracked) < tracked.replica.slots)
+        .filter(({ health }) => !needsHealthy || !health.isEjected(environment.nowMs()));
       const allowed = guard ? guard.selectReplicas(open) : open;
       const candidates = allowed.map((tracked) => directory.createCandidate(tracked));
       const draw = guard ? guard.draw(environment.random) : environment.random();
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -4,7 +4,8 @@
  *
  * Another replica is tried when the request certainly did not run, when the answer to an idempotent
  * request was lost or a server error, and when an idempotent request has waited for so long that
- * its replica is probably unresponsive (hedging). The first good answer aborts the other calls.
+ * its replica is probably unresponsive (hedging), or for unusually long where the gateway's settings
+ * allow extra attempts. The first good answer aborts the other calls.
  * While the gateway stops, no call begins that cannot end in time, and at the last moment the caller is
  * told whether the request may have run.
  */
@@ -13,6 +14,7 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import type * as callContexts from './call-context';
+import type * as extraAttempts from './extra-attempt';
 import * as plannedStops from './planned-stop';
 
 /** Options of a plain call. */
@@ -24,8 +26,13 @@
   readonly callerDeadlineAtMs: number;
   /** When the call must end: the earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAtMs: number;
-  /** Time without an answer after which an idempotent request is sent to another replica. */
-  readonly hedgeDelayMs: number;
+  /**
+   * Time without an answer after which an idempotent request is sent to another replica; undefined:
+   * never. It has no effect where there may be an extra attempt.
+   */
+  readonly hedgeDelayMs: number | undefined;
+  /** Decides on an extra attempt within the gateway's budget. */
+  readonly extraAttempt?: extraAttempts.ExtraAttempt | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -110,59 +117,85 @@
     else if (this.runningCalls.size === 0) this.giveUp();
   }
 
-  private async send(tracked: directories.TrackedReplica): Promise<void> {
+  private async send(tracked: directories.TrackedReplica, isExtra = false): Promise<void> {
     const { replica } = tracked;
     const startMs = this.context.nowMs();
     const abort = new AbortController();
     this.triedIds.add(replica.id);
     this.runningCalls.set(replica.id, abort);
-    this.startHedgeTimer();
+    this.startHedgeTimer(replica.id);
     tracked.inFlight += 1;
     const outcome = await this.context.replicaClient
       .call(replica, this.options.request, {
-        deadlineMs: Math.max(
-          1,
-          Math.min(
-            this.options.callerDeadlineAtMs,
-            this.options.deadlineAtMs,
-            this.context.stop.lastAnswerAtMs,
-          ) - startMs,
-        ),
+        deadlineMs: Math.max(1, this.getRemainingMs()),
         signal: abort.signal,
       })
       .finally(() => {
         tracked.inFlight -= 1;
         this.runningCalls.delete(replica.id);
       });
-    this.context.recordOutcome(tracked, outcome, this.context.nowMs() - startMs);
-    if (!this.isFinished) this.handleOutcome(outcome);
+    const tookMs = this.context.nowMs() - startMs;
+    this.context.recordOutcome(tracked, outcome, tookMs);
+    this.options.extraAttempt?.recordOutcome(outcome, tookMs, isExtra);
+    if (!this.isFinished) this.handleOutcome(outcome, isExtra);
   }
 
-  private startHedgeTimer(): void {
+  /** Time until the request ends in any case, in milliseconds. */
+  private getRemainingMs(): number {
+    const { callerDeadlineAtMs, deadlineAtMs } = this.options;
+    const { stop, nowMs } = this.context;
+    return Math.min(callerDeadlineAtMs, deadlineAtMs, stop.lastAnswerAtMs) - nowMs();
+  }
+
+  private startHedgeTimer(replicaId: string): void {
     clearTimeout(this.hedgeTimer);
-    if (!this.options.isIdempotent) return;
-    this.hedgeTimer = setTimeout(() => this.sendNext(), this.options.hedgeDelayMs);
+    const { isIdempotent, hedgeDelayMs, extraAttempt } = this.options;
+    if (extraAttempt) {
+      extraAttempt.watch(this.createWatchedAttempt(replicaId));
+      return;
+    }
+    if (!isIdempotent || hedgeDelayMs === undefined) return;
+    this.hedgeTimer = setTimeout(() => this.sendNext(), hedgeDelayMs);
   }
 
-  private handleOutcome(outcome: replicas.CallOutcome): void {
+  private createWatchedAttempt(replicaId: string): extraAttempts.WatchedAttempt {
+    return {
+      tried: this.triedIds,
+      maximumAttempts: this.options.maximumAttempts,
+      getRemainingMs: () => this.getRemainingMs(),
+      isStopping: () => Number.isFinite(this.context.stop.lastAnswerAtMs),
+      isRunning: () => !this.isFinished && this.runningCalls.has(replicaId),
+      send: (tracked) => {
+        this.send(tracked, true).catch((error) => this.reject?.(error));
+      },
+    };
+  }
+
+  private handleOutcome(outcome: replicas.CallOutcome, isExtra: boolean): void {
     if (outcome.status !== replicas.CallStatus.Answered) {
       if (outcome.status === replicas.CallStatus.Broken) this.mayHaveRun = true;
-      if (this.isRetryable(outcome.status)) this.sendNext();
+      if (this.isRetryable(outcome.status)) this.retry();
       else this.giveUp();
       return;
     }
     const { answer } = outcome;
     if (answer.status < MINIMUM_SERVER_ERROR_STATUS) {
-      this.complete({ kind: 'answer', answer });
+      this.complete({ kind: 'answer', answer }, isExtra);
       return;
     }
     if (answer.status === INTERNAL_SERVER_ERROR_STATUS) this.failedAnswers += 1;
     this.mayHaveRun = true;
     this.lastAnswer = answer;
-    if (this.options.isIdempotent) this.sendNext();
+    if (this.options.isIdempotent) this.retry();
     else this.giveUp();
   }
 
+  /** Where there may be an extra attempt, the attempt still running is the retry of one that failed. */
+  private retry(): void {
+    if (this.options.extraAttempt && this.runningCalls.size > 0) return;
+    this.sendNext();
+  }
+
   private isRetryable(status: replicas.CallStatus): boolean {
     return replicas.isNotRun(status) || this.options.isIdempotent;
   }
@@ -191,10 +224,12 @@
     this.complete({ kind: 'failure', failure: decisions.createFailure(code, { verdict }) });
   }
 
-  private complete(reply: exchanges.Reply): void {
+  /** @param isWon whether the reply is the answer to the extra attempt */
+  private complete(reply: exchanges.Reply, isWon = false): void {
     if (this.isFinished) return;
     this.isFinished = true;
     clearTimeout(this.hedgeTimer);
+    this.options.extraAttempt?.end(isWon);
     clearTimeout(this.deadlineTimer);
     this.leaveStop?.();
     this.options.signal.removeEventListener('abort', this.onCallerDisconnected);
