Test the budget, the delay and the single extra attempt of a request

With three attempts and a larger share, a third attempt would have passed the former test, which had no budget for it. One of two checks for an extra attempt already sent was redundant.

--- a/packages/gateway/__tests__/extra-attempts.test.ts
+++ b/packages/gateway/__tests__/extra-attempts.test.ts
@@ -140,6 +140,13 @@
   async function run(
     script: readonly ScriptedCall[],
     extraAttempts: decisions.ExtraAttemptSettings | null = ON,
+    options: Parameters<typeof forward>[1] = {},
+  ): ReturnType<typeof forward> {
+    return forward(createForwarder(script, extraAttempts), options);
+  }
+
+  async function forward(
+    forwarder: forwarders.Forwarder,
     options: {
       readonly caller?: Partial<gateway.CallerRequest>;
       readonly route?: gateway.Route;
@@ -147,12 +154,11 @@
   ): Promise<{ readonly reply: gateway.Reply; readonly tookMs: number }> {
     const startMs = time.nowMs();
     const caller = { ...createCaller(), ...options.caller };
-    const reply = await time.settle(
-      createForwarder(script, extraAttempts)
+    return time.settle(
+      forwarder
         .forward(caller, options.route ?? route)
-        .then((value) => ({ reply: value, tookMs: time.nowMs() - startMs })),
+        .then((reply) => ({ reply, tookMs: time.nowMs() - startMs })),
     );
-    return reply;
   }
 
   const getCount = (outcome: string): number =>
@@ -188,7 +194,7 @@
   });
 
   it('has one extra attempt at most', async () => {
-    await run([SLOW, SLOW, FAST]);
+    await run([SLOW, SLOW, FAST], { ...ON, share: 4 });
     expect(calls).toHaveLength(2);
   });
 
@@ -229,6 +235,27 @@
     expect(getCount('withheld-no-budget')).toBe(1);
   });
 
+  it('does not use up the budget while no replica is free', async () => {
+    const forwarder = createForwarder([FAST, { afterMs: 150, end: 200 }, SLOW], {
+      ...ON,
+      share: 0.5,
+    });
+    await forward(forwarder);
+    fillOthers();
+    await forward(forwarder);
+    await time.advance(2000);
+    await forward(forwarder);
+    expect([getCount('withheld-no-free-replica'), getCount('sent')]).toEqual([1, 1]);
+  });
+
+  it('waits longer as attempts take longer, also when these were cancelled', async () => {
+    const script = Array.from({ length: 40 }, () => [SLOW, FAST]).flat();
+    const forwarder = createForwarder(script, ON);
+    for (let count = 0; count < 40; count += 1) await forward(forwarder);
+    const [first, second] = calls.slice(-2);
+    expect(second.startMs - first.startMs).toBeGreaterThan(DELAY_MS + FAST.afterMs / 2);
+  });
+
   it('runs once when it is not idempotent, whatever its replica does', async () => {
     await run([SLOW], ON, { route: nonIdempotent });
     await run([{ afterMs: 200, end: 'broken' }], ON, { route: nonIdempotent });
--- a/packages/gateway/src/requests/extra-attempt.ts
+++ b/packages/gateway/src/requests/extra-attempt.ts
@@ -153,7 +153,7 @@
   }
 
   private isUseful(attempt: WatchedAttempt): boolean {
-    return !this.hasEnded && !this.isSent && attempt.isRunning();
+    return !this.hasEnded && attempt.isRunning();
   }
 
   private describe(attempt: WatchedAttempt): decisions.SlowRequest {
