--- a/packages/gateway/__tests__/extra-attempts.test.ts
+++ b/packages/gateway/__tests__/extra-attempts.test.ts
@@ -40,6 +40,7 @@
   let environment: gateway.Environment;
   let directory: directories.ReplicaDirectory;
   let plannedStop: plannedStops.PlannedStop;
+  let limits: rateLimits.RateLimits;
 
   const [, route] = systems.createConfiguration(1).routes as gateway.Route[];
   const nonIdempotent = { ...route, kind: gateway.RouteKind.NonIdempotent };
@@ -52,6 +53,7 @@
     environment = { ...time.createEnvironment('vm'), log };
     directory = plainDirectories.createDirectory(environment, ['r1', 'r2', 'r3']);
     plannedStop = plannedStops.PlannedStop.create(time.nowMs);
+    limits = rateLimits.RateLimits.create(environment);
   });
 
   afterEach(() => {
@@ -108,7 +110,7 @@
       }),
       permits: permitRequesters.PermitRequester.create({
         environment,
-        limits: rateLimits.RateLimits.create(environment),
+        limits,
         issuer: {} as permitIssuers.PermitIssuer,
         peers: { requestPermits: () => Promise.resolve(undefined) },
         listIssuers: () => [],
@@ -283,6 +285,15 @@
             for (let count = 0; count < 10; count += 1) health.recordFailure(time.nowMs(), true);
           }),
     ],
+    [
+      'no-free-replica',
+      'the other replicas need permits and none is issued',
+      () =>
+        directory
+          .listAll()
+          .slice(1)
+          .forEach(({ replica }) => limits.record(replica, 1, time.nowMs())),
+    ],
     ['memory', 'the memory is short', () => environment.memory.open().grow(time.MEMORY_BYTES)],
     ['stopping', 'the gateway stops', () => plannedStop.begin(time.GRACE_PERIOD_MS)],
   ])('has no extra attempt (%s) when %s', async (reason, _when, prepare) => {
