--- a/packages/gateway/__tests__/extra-attempts.test.ts
+++ b/packages/gateway/__tests__/extra-attempts.test.ts
@@ -65,6 +65,7 @@
   function createClient(script: readonly ScriptedCall[]): gateway.ReplicaClient {
     const client = fakeReplicas.FakeReplicas.create();
     const remaining = [...script];
+    client.probe = () => Promise.resolve(gateway.ListeningState.Refusing);
     client.call = (replica, _request, { signal }) => {
       const { afterMs, end } = remaining.shift() ?? FAST;
       const call: RecordedCall = { replica: replica.id, startMs: time.nowMs() };
@@ -75,7 +76,7 @@
         const outcome: gateway.CallOutcome =
           typeof end === 'number'
             ? { status: gateway.CallStatus.Answered, answer, load: undefined }
-            : { status: end, reason: 'scripted' };
+            : { status: end, reason: 'scripted', isConnectionLost: end === 'broken' };
         setTimeout(() => resolve(outcome), afterMs);
         signal.addEventListener('abort', () => {
           call.abortedMs ??= time.nowMs();
@@ -303,6 +304,15 @@
     expect(getCount(`withheld-${reason}`)).toBe(1);
   });
 
+  it('has no extra attempt while it is suspect because its first replica ended', async () => {
+    await run([
+      { afterMs: 10, end: 'broken' },
+      { afterMs: 1000, end: 200 },
+    ]);
+    expect(calls).toHaveLength(2);
+    expect(getCount('withheld-no-free-replica')).toBe(1);
+  });
+
   it('has no extra attempt once its key was taken away', async () => {
     const endMs = time.nowMs() + DELAY_MS / 2;
     const organisation = { name: 'o', priority: undefined };
