--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -62,6 +62,8 @@
   readonly jobRetentionMs: number;
   /** Undefined where the deployment reports no usage. */
   readonly metering?: meterings.MeteringSettings | undefined;
+  /** Second attempts at slow requests within a budget; undefined: after a fixed delay, without one. */
+  readonly extraAttempts?: decisions.ExtraAttemptSettings | undefined;
 }
 
 /** A request's reply: an answer, a failure, a stream that ended, or the acceptance of a batch job. */
@@ -237,6 +239,7 @@
       origins,
       plannedStop: this.plannedStop,
       metering,
+      extraAttempts: options.extraAttempts,
     });
     const jobStore = jobStores.JobStore.create(environment, this.store);
     const runner = jobRunners.JobRunner.create({
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -5,6 +5,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as configurations from '../types/configuration';
 import type * as activeConfigurations from '../configuration/active-configuration';
+import * as errorGuards from '../core/error-guard';
 import type * as environments from '../types/environment';
 import type * as exchanges from '../types/exchange';
 import type * as organisations from '../types/organisation';
@@ -13,6 +14,7 @@
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
 import * as preferredReplicas from '../replicas/preferred-replicas';
+import * as replicaHealths from '../replicas/replica-health';
 import * as selections from '../replicas/replica-selection';
 import * as replicaTrials from '../replicas/replica-trials';
 import type * as guardedRequests from '../quarantine/guarded-request';
@@ -20,6 +22,7 @@
 import * as routeTables from '../configuration/route-table';
 import * as softwares from '../replicas/software';
 import type * as streamOrigins from '../streams/stream-origins';
+import * as extraAttempts from './extra-attempt';
 import * as plainCalls from './plain-call';
 import * as plannedStops from './planned-stop';
 import * as streamCalls from './stream-call';
@@ -35,6 +38,8 @@
   readonly plannedStop: plannedStops.PlannedStop;
   /** Counts the calls of callers' requests; undefined where the deployment reports no usage. */
   readonly metering?: Pick<meterings.Metering, 'meter'> | undefined;
+  /** Undefined: slow idempotent requests are hedged after a fixed delay, without a budget. */
+  readonly extraAttempts?: decisions.ExtraAttemptSettings | undefined;
 }
 
 /** A request that the gateway itself makes. */
@@ -59,6 +64,8 @@
   readonly needsFreeSlot?: boolean;
   /** Narrows the choice to the replicas that this gateway prefers. */
   readonly prefer?: preferredReplicas.CandidateFilter;
+  /** Whether no replica is better than one that is ejected. */
+  readonly needsHealthy?: boolean;
   /** Without one the request needs none; one that is no longer valid gets no replica. */
   readonly authorisation?: organisations.Authorisation | undefined;
 }
@@ -82,8 +89,15 @@
 export class Forwarder {
   private readonly preferredReplicas: preferredReplicas.PreferredReplicas;
 
+  private readonly extraAttempts: decisions.ExtraAttempts | undefined;
+
+  private readonly extraAttemptErrors: errorGuards.ErrorGuard;
+
   private constructor(private readonly options: ForwarderOptions) {
-    this.preferredReplicas = preferredReplicas.PreferredReplicas.create(options.environment.vm);
+    const { extraAttempts: settings, environment } = options;
+    this.preferredReplicas = preferredReplicas.PreferredReplicas.create(environment.vm);
+    this.extraAttempts = settings && decisions.ExtraAttempts.create(settings, environment);
+    this.extraAttemptErrors = errorGuards.ErrorGuard.create(environment, 'extra attempts');
   }
 
   static create(options: ForwarderOptions): Forwarder {
@@ -264,23 +278,18 @@
     const service = routeTables.chooseService(route, environment.random());
     const stop = this.options.plannedStop.createRequestStop(route, deadlines.deadlineAtMs);
     const preference = this.preferredReplicas.countRequest(service ?? '', environment.nowMs());
+    const isIdempotent = route.kind === configurations.RouteKind.Idempotent;
+    const hedgeDelayMs = route.latencyObjectiveMs * HEDGE_DELAY_SHARE;
+    const choice = { service, priority: route.priority, guard, authorisation };
     const call = plainCalls.PlainCall.create(
       {
         replicaClient: guard ? this.meter(guard, authorisation) : replicaClient,
         nowMs: environment.nowMs,
         stop,
         chooseReplica: async (tried) => {
-          const { priority } = route;
           const needsFreeSlot = guard === undefined;
-          const chosen = await this.chooseReplica({
-            service,
-            priority,
-            tried,
-            guard,
-            needsFreeSlot,
-            prefer: preference.narrow,
-            authorisation,
-          });
+          const prefer = preference.narrow;
+          const chosen = await this.chooseReplica({ ...choice, tried, needsFreeSlot, prefer });
           if (chosen) preference.recordChoice(chosen.replica.id);
           if (chosen) onPlaced?.();
           return chosen;
@@ -295,9 +304,24 @@
         request,
         signal,
         ...deadlines,
-        isIdempotent: route.kind === configurations.RouteKind.Idempotent,
+        isIdempotent,
         maximumAttempts: Math.max(1, route.maximumAttempts),
-        hedgeDelayMs: route.latencyObjectiveMs * HEDGE_DELAY_SHARE,
+        hedgeDelayMs: this.extraAttempts ? undefined : hedgeDelayMs,
+        // The gateway's own requests have none: they can wait.
+        extraAttempt:
+          this.extraAttempts &&
+          guard &&
+          extraAttempts.ExtraAttempt.create({
+            environment,
+            rules: this.extraAttempts,
+            errors: this.extraAttemptErrors,
+            request,
+            route,
+            isIdempotent,
+            fixedDelayMs: hedgeDelayMs,
+            chooseReplica: (tried) =>
+              this.chooseReplica({ ...choice, tried, needsFreeSlot: true, needsHealthy: true }),
+          }),
       },
     );
     return call.run();
@@ -311,6 +335,7 @@
     software,
     needsFreeSlot = false,
     prefer = (candidates) => candidates,
+    needsHealthy = false,
     authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
@@ -322,7 +347,9 @@
       const candidates = directory.list(service).map((tracked) => {
         const { replica } = tracked;
         const limits = {
-          isSuitable: software === undefined || softwares.identifySoftware(replica) === software,
+          isSuitable:
+            (software === undefined || softwares.identifySoftware(replica) === software) &&
+            (!needsHealthy || isHealthy(tracked, nowMs)),
           isPermitted: !refused.has(replica.id) && !permits.isRefused(replica),
           isTried: tried.has(replica.id),
           isAvoided: false,
@@ -416,6 +443,10 @@
   }
 }
 
+function isHealthy({ health }: directories.TrackedReplica, nowMs: number): boolean {
+  return health.getCondition(nowMs) === replicaHealths.ReplicaCondition.Healthy;
+}
+
 function narrow(
   open: readonly directories.ReplicaCandidate[],
   guard: guardedRequests.GuardedRequest,
