Replica selection: a replica that refuses because it is full still counts as healthy

A refused item marked the replica as loading weights, so it was not suitable for 150 ms. A refusal whose load shows all slots taken now means no room. Waiting items are dispatched as soon as a replica has left its probation; new test of a gateway that stood still and ejected all replicas.

--- a/packages/gateway/__tests__/replica-selection.test.ts
+++ b/packages/gateway/__tests__/replica-selection.test.ts
@@ -9,7 +9,7 @@
   return {
     ...{ id, slots: 4, load: 0, unitMs: 40, isLocal: false, isEjected },
     ...{ condition: 'healthy', mayTry: true, isSuitable: true, isPermitted: true },
-    ...{ isTried: false, isAvoided: false },
+    ...{ isTried: false, isAvoided: false, isRefusing: false },
     ...change,
   };
 }
--- a/packages/gateway/__tests__/selection-under-load.test.ts
+++ b/packages/gateway/__tests__/selection-under-load.test.ts
@@ -13,6 +13,8 @@
 const GROUPS = 6;
 const GROUP_SIZE = 8;
 const EVENTS = 100;
+const EVENT_MS = 20;
+const SLOTS = 4;
 /** By then each resetting replica has failed often enough to be ejected. */
 const FIRST_FAILURES_MS = 100;
 /** Ejections last 1, 2 and 4 s: within this time they allow two further requests. */
@@ -84,6 +86,23 @@
     expect(countRuns(HEALTHY, 0)).toBeGreaterThanOrEqual(GROUPS * GROUP_SIZE * 0.75);
   });
 
+  // Other gateways fill the healthy replicas, which this one learns from refusals.
+  it('send no items to ejected replicas while the healthy ones refuse because they are full', async () => {
+    HEALTHY.forEach((id) => {
+      const behaviour = system.replicas.getBehaviour(id);
+      behaviour.refusals = Infinity;
+      behaviour.refusalLoad = { running: 4, waiting: 0, slots: 4 };
+    });
+    const entry = await system.start('vm-1');
+    await submit(entry);
+    await time.advance(FIRST_FAILURES_MS);
+    const sinceMs = time.nowMs();
+    await time.advance(LOAD_MS);
+    RESETTING.forEach((id) => {
+      expect(countRuns([id], sinceMs)).toBeLessThanOrEqual(REQUESTS_ON_PROBATION);
+    });
+  });
+
   // While no replica is healthy, items must neither stop being tried nor be tried without a bound.
   it('are each tried at a bounded rate while none is healthy, and all used after the first success', async () => {
     HEALTHY.forEach((id) => {
@@ -109,6 +128,22 @@
     expect(new Set([...running].map(({ itemId }) => itemId)).size).toBe(GROUP_SIZE);
   });
 
+  // One request at a time until a whole text is there would leave most slots free for seconds.
+  it('are all used again soon after this gateway stood still, for which it ejected them all', async () => {
+    const connectivity = { isDirectCut: false, isCutFromReplicas: false };
+    const entry = await system.start('vm-1', 'vm-1-first', connectivity);
+    await submit(entry);
+    await time.advance(FIRST_FAILURES_MS);
+    connectivity.isCutFromReplicas = true;
+    await time.advance(FIRST_FAILURES_MS);
+    connectivity.isCutFromReplicas = false;
+    const sinceMs = time.nowMs();
+    // All streams that were cut end as silent together.
+    await time.advance(EVENTS * EVENT_MS - FIRST_FAILURES_MS);
+    await time.advance(500);
+    expect(countRuns(HEALTHY, sinceMs)).toBeGreaterThanOrEqual(HEALTHY.length * SLOTS);
+  });
+
   it('get no plain calls while ejected, whether or not the healthy ones are full', async () => {
     PLAIN.forEach((id) => {
       system.replicas.getBehaviour(id).answerMs = 1000;
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -13,6 +13,8 @@
   eventMs: number;
   /** How many of the next requests are refused as not run. */
   refusals: number;
+  /** The load that it reports with a refusal. */
+  refusalLoad: gateway.ReplicaLoad | undefined;
   /** Streams break off after this many events of the text; undefined: never. */
   breakAfterEvents: number | undefined;
   /** Whether it starts each text from the beginning instead of resuming after an event. */
@@ -106,6 +108,7 @@
       behaviour = {
         eventMs: 20,
         refusals: 0,
+        refusalLoad: undefined,
         breakAfterEvents: undefined,
         ignoresResume: false,
         isSilent: false,
@@ -192,7 +195,7 @@
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
       options.onSignals?.(createSignals(behaviour));
-      return { status: CallStatus.NotRun, reason: 'status 503' };
+      return { status: CallStatus.NotRun, reason: 'status 503', load: behaviour.refusalLoad };
     }
     if (behaviour.isSilent) {
       const isAborted = await pauseUnlessAborted(options.deadlineMs, options.signal);
@@ -235,7 +238,7 @@
     if (behaviour.refusals > 0) {
       behaviour.refusals -= 1;
       options.onSignals?.(createSignals(behaviour));
-      return { status: CallStatus.NotRun, reason: 'status 503' };
+      return { status: CallStatus.NotRun, reason: 'status 503', load: behaviour.refusalLoad };
     }
     const startedMs = time.nowMs();
     const { id: replicaId } = replica;
--- a/packages/gateway/src/jobs/item-placement.ts
+++ b/packages/gateway/src/jobs/item-placement.ts
@@ -88,7 +88,9 @@
       return (tracked.loadingUntilMs.get(model) ?? -Infinity) <= nowMs;
     };
     // With many items waiting, most find all replicas full, which takes no further look at them.
-    if (!suitable.some((tracked) => directory.getLoad(tracked, nowMs) < tracked.replica.slots)) {
+    const hasRoom = (tracked: directories.TrackedReplica): boolean =>
+      tracked.fullUntilMs <= nowMs && directory.getLoad(tracked, nowMs) < tracked.replica.slots;
+    if (!suitable.some(hasRoom)) {
       this.lastReason = selections.WithheldReason.Full;
       return undefined;
     }
@@ -101,6 +103,7 @@
             isSuitable: isSuitable(tracked),
             isPermitted: !refused.has(tracked) && !permits.isRefused(tracked.replica),
             isTried: false,
+            isRefusing: tracked.fullUntilMs > nowMs,
             isAvoided: itemProgress.replicaId === tracked.replica.id,
             // The failure domain of the replica does not matter for batch items.
             isLocal: false,
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -35,7 +35,10 @@
   readonly storeNowMs: () => number;
 }
 
-/** How long a replica that refused an item gets no items of its model, which it may be loading. */
+/**
+ * How long a replica that refused an item gets none: none at all if it was full, otherwise none of the item's
+ * model, which it may be loading.
+ */
 const LOADING_BACKOFF_MS = 150;
 const SLOW_CHECK_INTERVAL_MS = 200;
 /** Delay before an item is scored again after an unexpected error. */
@@ -255,6 +258,7 @@
       caller: this.options.caller,
       itemProgress,
       tracked,
+      onRoom: () => this.scheduleDispatch(),
       context: {
         oldestVersion: job.head.oldestVersion,
         isSingleVersion: route.isSingleVersion,
@@ -290,7 +294,9 @@
     }
     if (end.kind === 'refused') {
       const { nowMs } = this.options.environment;
-      tracked.loadingUntilMs.set(itemProgress.item.model, nowMs() + LOADING_BACKOFF_MS);
+      const untilMs = nowMs() + LOADING_BACKOFF_MS;
+      if (end.isFull) tracked.fullUntilMs = untilMs;
+      else tracked.loadingUntilMs.set(itemProgress.item.model, untilMs);
       setTimeout(() => this.scheduleDispatch(), LOADING_BACKOFF_MS);
     }
     if (end.kind === 'broken') {
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -28,6 +28,8 @@
   readonly itemProgress: progress.ItemProgress;
   readonly tracked: directories.TrackedReplica;
   readonly context: StreamRunContext;
+  /** Called when the replica may get further items. */
+  readonly onRoom?: () => void;
 }
 
 /** How a run ended. */
@@ -43,6 +45,8 @@
     | 'impossible'
     /** The stream broke off, was aborted, or had another status. */
     | 'broken';
+  /** Whether the replica that refused it was full, and is thus not loading weights. */
+  readonly isFull?: boolean;
   /** Whether this gateway ended the run. */
   readonly isAborted?: boolean;
 }
@@ -169,7 +173,8 @@
     }
     itemProgress.runEvents += 1;
     if (itemProgress.runEvents === replicaTrials.EVENTS_OF_PROGRESS) {
-      replicaTrials.recordProgress(environment, tracked, itemProgress.runStartedMs);
+      const { runStartedMs } = itemProgress;
+      if (replicaTrials.recordProgress(environment, tracked, runStartedMs)) this.options.onRoom?.();
     }
     itemProgress.lastEventMs = nowMs;
   }
@@ -189,7 +194,10 @@
 
   private classifyOutcome(outcome: replicas.StreamOutcome): StreamRunEnd {
     const { CallStatus } = replicas;
-    if (replicas.isNotRun(outcome.status)) return { kind: 'refused' };
+    if (replicas.isNotRun(outcome.status)) {
+      const { load } = outcome;
+      return { kind: 'refused', isFull: load !== undefined && load.running >= load.slots };
+    }
     const isAborted = this.abortController.signal.aborted;
     if (outcome.status !== CallStatus.Answered) return { kind: 'broken', isAborted };
     const { status } = outcome.answer;
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -35,6 +35,8 @@
   otherGatewaysLoadUpdatedMs: number;
   /** How long work takes there at this moment, where it reports that. */
   readonly workFactor: workFactors.WorkFactor;
+  /** Until when it gets no items, because it refused one and was full. */
+  fullUntilMs: number;
   /** Models that it refuses while it loads their weights, and the expected end of that. */
   readonly loadingUntilMs: Map<string, number>;
   /** Versions of the weights seen in its answers, by model; they may be newer than its row. */
@@ -44,7 +46,7 @@
 /** What limits the selection of a replica for one request, apart from its state. */
 export type CandidateLimits = Pick<
   selections.SelectionCandidate,
-  'isSuitable' | 'isPermitted' | 'isTried' | 'isAvoided' | 'isLocal'
+  'isSuitable' | 'isPermitted' | 'isTried' | 'isAvoided' | 'isRefusing' | 'isLocal'
 >;
 
 /** A candidate for selection with the tracked replica. */
@@ -147,6 +149,7 @@
       isPermitted: limits.isPermitted,
       isTried: limits.isTried,
       isAvoided: limits.isAvoided,
+      isRefusing: limits.isRefusing,
       isLocal: limits.isLocal,
       id: tracked.replica.id,
       slots: tracked.replica.slots,
@@ -283,6 +286,7 @@
     otherGatewaysLoad: 0,
     otherGatewaysLoadUpdatedMs: -Infinity,
     workFactor: workFactors.WorkFactor.create(),
+    fullUntilMs: -Infinity,
     loadingUntilMs: new Map(),
     observedVersions: new Map(),
   };
--- a/packages/gateway/src/replicas/replica-selection.ts
+++ b/packages/gateway/src/replicas/replica-selection.ts
@@ -23,6 +23,8 @@
   readonly isPermitted: boolean;
   /** Whether the request was sent to it before and is not to be sent there again. */
   readonly isTried: boolean;
+  /** Whether it refused a request just now because it was full. */
+  readonly isRefusing: boolean;
   /** Whether it is taken only when there is no other, for a reason that concerns only this request. */
   readonly isAvoided: boolean;
 }
@@ -99,6 +101,6 @@
   return condition === ReplicaCondition.Healthy;
 }
 
-function hasRoom({ load, slots }: SelectionCandidate): boolean {
-  return load < slots;
+function hasRoom({ load, slots, isRefusing }: SelectionCandidate): boolean {
+  return load < slots && !isRefusing;
 }
--- a/packages/gateway/src/replicas/replica-trials.ts
+++ b/packages/gateway/src/replicas/replica-trials.ts
@@ -33,13 +33,18 @@
   if (tracked.health.recordSuccess(startedMs)) reportHealthy(environment, tracked);
 }
 
-/** Records that a stream has brought `EVENTS_OF_PROGRESS` events. */
+/**
+ * Records that a stream has brought `EVENTS_OF_PROGRESS` events.
+ * @returns whether the replica is healthy again
+ */
 export function recordProgress(
   environment: environments.Environment,
   tracked: directories.TrackedReplica,
   startedMs: number,
-): void {
-  if (tracked.health.recordProgress(startedMs)) reportHealthy(environment, tracked);
+): boolean {
+  if (!tracked.health.recordProgress(startedMs)) return false;
+  reportHealthy(environment, tracked);
+  return true;
 }
 
 function reportHealthy(
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -352,6 +352,7 @@
             (!needsHealthy || isHealthy(tracked, nowMs)),
           isPermitted: !refused.has(replica.id) && !permits.isRefused(replica),
           isTried: tried.has(replica.id),
+          isRefusing: false,
           isAvoided: false,
           isLocal: replica.failureDomain === environment.failureDomain,
         };
