Metrics of replicas that are ejected or on probation

Gauge by condition, which appears with the first trial only. The test of the load checks the metrics that an operator reads.

--- a/packages/gateway/__tests__/selection-under-load.test.ts
+++ b/packages/gateway/__tests__/selection-under-load.test.ts
@@ -84,6 +84,10 @@
       expect(countRuns([id], sinceMs)).toBeLessThanOrEqual(REQUESTS_ON_PROBATION);
     });
     expect(countRuns(HEALTHY, 0)).toBeGreaterThanOrEqual(GROUPS * GROUP_SIZE * 0.75);
+    const figures = system.getMetrics('vm-1').format();
+    expect(figures).toMatch(/items_waiting\{reason="room only at ejected"\} \d/);
+    expect(figures).toMatch(/replicas_avoided\{condition="ejected"\} 3\n/);
+    expect(figures).toMatch(/run_backoffs\{service="engines"\} \d/);
   });
 
   // Other gateways fill the healthy replicas, which this one learns from refusals.
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -180,7 +180,7 @@
 
   private readonly connectivityByAddress = new Map<string, Connectivity>();
 
-  private readonly memories = new Map<string, gateway.Memory>();
+  private readonly environments = new Map<string, gateway.Environment>();
 
   private configuration = createConfiguration(1);
 
@@ -232,7 +232,7 @@
     const isUnreachable = (): boolean =>
       this.isStoreAway || connectivity.isIsolated === true || connectivity.isDead === true;
     const environment = time.createEnvironment(vm, incarnation);
-    this.memories.set(vm, environment.memory);
+    this.environments.set(vm, environment);
     const started = gateway.Gateway.create({
       environment,
       failureDomains: ['domain-a'],
@@ -265,9 +265,18 @@
 
   /** The memory budget of the gateway that was last started on a VM. */
   getMemory(vm: string): gateway.Memory {
-    const memory = this.memories.get(vm);
-    if (!memory) throw new Error(`no gateway was started on ${vm}`);
-    return memory;
+    return this.getEnvironment(vm).memory;
+  }
+
+  /** The metrics of the gateway that was last started on a VM. */
+  getMetrics(vm: string): gateway.Environment['metrics'] {
+    return this.getEnvironment(vm).metrics;
+  }
+
+  private getEnvironment(vm: string): gateway.Environment {
+    const environment = this.environments.get(vm);
+    if (!environment) throw new Error(`no gateway was started on ${vm}`);
+    return environment;
   }
 
   /** Stops all gateways that were started. */
--- a/packages/gateway/src/jobs/item-placement.ts
+++ b/packages/gateway/src/jobs/item-placement.ts
@@ -120,7 +120,7 @@
       const { tracked } = chosen;
       const onPermit = (): void => this.options.onRoom();
       if (permits.tryTake(tracked.replica, route.priority, onPermit)) {
-        replicaTrials.recordSelection(environment, tracked);
+        replicaTrials.recordSelection(environment, directory, tracked);
         return tracked;
       }
       refused.add(tracked);
--- a/packages/gateway/src/replicas/replica-trials.ts
+++ b/packages/gateway/src/replicas/replica-trials.ts
@@ -12,6 +12,7 @@
 /** Records that a replica was selected, which is a trial unless it is healthy. */
 export function recordSelection(
   environment: environments.Environment,
+  directory: Pick<directories.ReplicaDirectory, 'listAll'>,
   tracked: directories.TrackedReplica,
 ): void {
   const nowMs = environment.nowMs();
@@ -21,9 +22,27 @@
   const { id, service } = replica;
   environment.metrics.count('replica_trials', { service, condition });
   if (!health.beginTrial(nowMs)) return;
+  showConditions(environment, directory);
   environment.log.info('replica tried again', { replica: id, service, condition });
 }
 
+/** The gauges appear with the first trial, so that they are absent where replicas do not fail. */
+function showConditions(
+  { metrics, nowMs }: environments.Environment,
+  directory: Pick<directories.ReplicaDirectory, 'listAll'>,
+): void {
+  const { Ejected, Probation } = replicaHealths.ReplicaCondition;
+  [Ejected, Probation].forEach((condition) => {
+    const isCounted = ({ health }: directories.TrackedReplica): boolean =>
+      health.getCondition(nowMs()) === condition;
+    metrics.gauge(
+      'replicas_avoided',
+      { condition },
+      () => directory.listAll().filter(isCounted).length,
+    );
+  });
+}
+
 /** Records a successful request. */
 export function recordSuccess(
   environment: environments.Environment,
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -367,7 +367,7 @@
         },
       }).chosen?.tracked;
       if (!chosen) return undefined;
-      replicaTrials.recordSelection(environment, chosen);
+      replicaTrials.recordSelection(environment, directory, chosen);
       if (!permits.isNeeded(chosen.replica)) return chosen;
       const isGranted = await permits.take(chosen.replica, priority);
       // Meanwhile the request may have become suspect, or another of its calls may have started.
