--- a/packages/gateway/src/organisations/authoriser.ts
+++ b/packages/gateway/src/organisations/authoriser.ts
@@ -68,7 +68,7 @@
     return this.authoriseKey(key);
   }
 
-  private get keyRing(): keyRings.KeyRing | undefined {
+  private get keyRing(): organisations.Keys | undefined {
     return this.options.configuration.current?.keyRing;
   }
 
--- a/packages/gateway/src/organisations/key-ring.ts
+++ b/packages/gateway/src/organisations/key-ring.ts
@@ -14,7 +14,7 @@
 }
 
 /** The keys of one configuration. */
-export class KeyRing {
+export class KeyRing implements organisations.Keys {
   private constructor(
     private readonly byDigest: ReadonlyMap<KeyDigest, organisations.Organisation>,
     private readonly byName: ReadonlyMap<string, organisations.Organisation>,
@@ -31,12 +31,10 @@
     return new KeyRing(byDigest, byName);
   }
 
-  /** The organisation that holds a key; undefined when none does. */
   find(digest: KeyDigest): organisations.Organisation | undefined {
     return this.byDigest.get(digest);
   }
 
-  /** The organisation with a name; undefined when there is none. */
   findByName(name: string): organisations.Organisation | undefined {
     return this.byName.get(name);
   }
--- a/packages/gateway/src/types/configuration.ts
+++ b/packages/gateway/src/types/configuration.ts
@@ -2,7 +2,7 @@
  * The operator's configuration as the gateway uses it.
  */
 
-import type * as keyRings from '../organisations/key-ring';
+import type * as organisations from './organisation';
 
 /** Kind of a route's requests; it decides whether a request may be retried. */
 export const RouteKind = {
@@ -79,5 +79,5 @@
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: CallerLimits;
   /** The keys of its organisations; undefined when the deployment has none. */
-  readonly keyRing?: keyRings.KeyRing | undefined;
+  readonly keyRing?: organisations.Keys | undefined;
 }
--- a/packages/gateway/src/types/organisation.ts
+++ b/packages/gateway/src/types/organisation.ts
@@ -14,6 +14,14 @@
   readonly keys: readonly string[];
 }
 
+/** The keys of one configuration; they are looked up by their digests. */
+export interface Keys {
+  /** The organisation that holds a key; undefined when none does. */
+  find(digest: string): Organisation | undefined;
+  /** The organisation with a name; undefined when there is none. */
+  findByName(name: string): Organisation | undefined;
+}
+
 /** That a request may run for an organisation, as long as it is valid. */
 export interface Authorisation {
   readonly organisation: Organisation;
