Bodies and connections of clients: one decision on what ends first

Cause: dropped buffers of refused and unfinished bodies stayed in memory until a later collection, chunked bodies grew by copying, the rest of a refused body was read without bound, a piece of one byte cost as much as a large one, small bodies had no time limit, and the number of connections had none. Change: large bodies grow in place and return their pages when they are abandoned. The intake of bodies gives up those that stand still first, then inefficient ones, then, for a small arrival, the largest; at most four bodies in tiny pieces are read at a time, in turns. A refusal closes its connection, and the rest is read of four connections at most, for a bounded time and size. The number of connections follows limits.max_fds: at the limit the longest incomplete request is closed, then the longest idle connection; a request that was read whole is answered.

--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -55,6 +55,16 @@
     verdict: NotRun,
     message: 'the memory for open work has no room for the request',
   },
+  'inefficient-body': {
+    status: 503,
+    verdict: NotRun,
+    message: 'the body arrives in very small pieces, as too many others do',
+  },
+  'too-many-connections': {
+    status: 503,
+    verdict: NotRun,
+    message: 'there are too many connections of clients',
+  },
   'no-target': { status: 503, verdict: NotRun, message: 'no target can take the request' },
   'rate-limited': {
     status: 503,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,19 @@
   type GatewayReply,
   MEMORY_RETRY_AFTER_MS,
 } from './core/gateway';
+export {
+  BodyIntake,
+  BodyRefusal,
+  type IncomingBody,
+  SMALL_BODY_BYTES,
+  SWEEP_INTERVAL_MS,
+} from './core/body-intake';
+export {
+  type ClientConnection,
+  ClientConnections,
+  ClosedConnection,
+  computeConnectionLimit,
+} from './core/client-connections';
 export { MemoryBudget } from './core/memory-budget';
 export type { Memory, Reservation } from './types/memory';
 export { listMembers, type Member } from './store/json-scanner';
