--- a/packages/gateway/__tests__/support/metering-fleet.ts
+++ b/packages/gateway/__tests__/support/metering-fleet.ts
@@ -55,6 +55,9 @@
 
   readonly gateways: MeteredGateway[] = [];
 
+  /** The gateway that makes the next call is frozen right before it is sent. */
+  freezesAtNextCall = false;
+
   private constructor(private readonly checksFences: boolean) {
     const { nowMs, pause } = time;
     this.api = standins.MemoryDutyApi.create({ nowMs, pause, checksFences, leaseMs: LEASE_MS });
@@ -170,6 +173,8 @@
     caller: gateway.DutyCaller,
     report: gateway.UsageReport,
   ): Promise<gateway.DutyCallOutcome> {
+    if (this.freezesAtNextCall) Object.assign(state, { isFrozen: true });
+    this.freezesAtNextCall = false;
     await thaw(state);
     if (state.isDead) return new Promise(() => {});
     if (state.isCut || !caller.mayStillCall()) return { status: 'not-done' };
--- a/packages/gateway/__tests__/usage-duty.test.ts
+++ b/packages/gateway/__tests__/usage-duty.test.ts
@@ -57,11 +57,12 @@
   it('makes no call with a token that was overtaken while the holder was frozen', async () => {
     await time.advance(8000);
     const frozen = fleet.caller;
-    frozen.isFrozen = true;
-    await time.advance(12_000);
+    fleet.freezesAtNextCall = true;
+    await time.advance(20_000);
+    expect(frozen.isFrozen).toBe(true);
     frozen.isFrozen = false;
-    await time.advance(10_000);
-    expect(fleet.api.listWindows()).toEqual(listWindows(5));
+    await time.advance(14_000);
+    expect(fleet.api.listWindows()).toEqual(listWindows(8));
     expect(fleet.caller.vm).not.toBe(frozen.vm);
   });
 
