Tests of usage through a whole gateway, and of a token that is rejected

Cause: nothing showed that the forwarder counts callers' requests only, or that a deployment without the duty writes nothing of it.

Change: the test system takes the settings of the duty; the duty API counts rejections.

--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -171,6 +171,9 @@
   /** Whether no call of any gateway reaches the store. */
   isStoreAway = false;
 
+  /** The duty of reporting usage; without it the gateways have none. */
+  metering: gateway.MeteringSettings | undefined;
+
   private readonly gateways: gateway.Gateway[] = [];
 
   private readonly gatewaysByAddress = new Map<string, gateway.Gateway>();
@@ -250,6 +253,7 @@
       callerHeaders: ['x-caller'],
       leaseMs: 3000,
       jobRetentionMs: 120_000,
+      metering: this.metering,
     });
     this.gateways.push(started);
     this.gatewaysByAddress.set(`${vm}:1`, started);
--- a/packages/gateway/__tests__/usage-duty.test.ts
+++ b/packages/gateway/__tests__/usage-duty.test.ts
@@ -211,3 +211,20 @@
     expect(fleet.api.listWindows()).toContain(last);
   });
 });
+
+describe('a token that is rejected', () => {
+  beforeEach(() => jest.useFakeTimers({ now: START_MS }));
+
+  afterEach(() => jest.useRealTimers());
+
+  // The row of the lease was lost, and the tokens began anew.
+  it('ends the tenure, and is not used again', async () => {
+    const fleet = fleets.MeteringFleet.create();
+    await fleet.api.reportUsage({ holder: 'vm-0', fence: 6 }, { windowNo: 1, counts: {} });
+    await fleet.start('vm-1');
+    await time.advance(15_000);
+    expect(fleet.api.rejections).toBe(1);
+    expect(fleet.api.calls.at(-1)?.fence).toBeGreaterThan(6);
+    await fleet.stopAll();
+  });
+});
--- a/packages/standins/src/duties/memory-duty-api.ts
+++ b/packages/standins/src/duties/memory-duty-api.ts
@@ -49,6 +49,9 @@
 
   readonly violations: string[] = [];
 
+  /** Number of calls that were rejected for their token. */
+  rejections = 0;
+
   private constructor(private readonly options: MemoryDutyApiOptions) {}
 
   static create(options: MemoryDutyApiOptions): MemoryDutyApi {
@@ -86,7 +89,10 @@
 
   private carryOut(call: Omit<RecordedCall, 'atMs'>): gateway.DutyCallStatus {
     const highest = Math.max(0, ...this.calls.map(({ fence }) => fence));
-    if (call.fence < highest && this.options.checksFences) return DutyCallStatus.StaleFence;
+    if (call.fence < highest && this.options.checksFences) {
+      this.rejections += 1;
+      return DutyCallStatus.StaleFence;
+    }
     const recorded = { ...call, atMs: this.options.nowMs() };
     if (call.fence < highest) this.violations.push(`token ${call.fence} after ${highest}`);
     this.checkHolder(recorded);
