Usage is neither written nor reported before the members are known

Cause: a process that was restarted as the holder claims its lease at once. Until it had read the members it took itself for the only gateway, so that it could report its own counts alone, in windows by its own wall clock.

Change: the membership task tells whether it has read the members; the writer and the reporter wait for that.

Without both checks the new test fails, with and without a check of tokens.

--- a/packages/gateway/__tests__/support/metering-fleet.ts
+++ b/packages/gateway/__tests__/support/metering-fleet.ts
@@ -36,6 +36,8 @@
   isDead: boolean;
   /** Its process stands still: answers and calls wait until this ends. */
   isFrozen: boolean;
+  /** Whether it has read the members' rows. */
+  areMembersKnown: boolean;
   /** How much further its wall clock has advanced than its monotonic clock. */
   wallAheadMs: number;
   diedMs: number;
@@ -68,12 +70,17 @@
   }
 
   /** Starts a gateway on a VM. */
-  async start(vm: string, incarnation = `${vm}-first`, wallAheadMs = 0): Promise<MeteredGateway> {
+  async start(
+    vm: string,
+    incarnation = `${vm}-first`,
+    { wallAheadMs = 0, areMembersKnown = true } = {},
+  ): Promise<MeteredGateway> {
     const state = {
       vm,
       isCut: false,
       isDead: false,
       isFrozen: false,
+      areMembersKnown,
       wallAheadMs,
       diedMs: Infinity,
     };
@@ -92,7 +99,7 @@
         checksFences: this.checksFences,
         api: { reportUsage: (...call) => this.call(state, ...call) },
       },
-      members: () => ({ listPeers: () => this.listPeers(vm) }),
+      members: () => ({ listPeers: () => this.listPeers(vm), isKnown: state.areMembersKnown }),
     });
     const started: MeteredGateway = Object.assign(state, { metering, environment });
     this.gateways.push(started);
@@ -129,6 +136,8 @@
   }
 
   private listPeers(vm: string): memberships.MemberRecord[] {
+    if (this.gateways.some((own) => own.vm === vm && !own.isDead && !own.areMembersKnown))
+      return [];
     return this.gateways
       .filter((other) => other.vm !== vm && time.nowMs() - other.diedMs < EXPIRY_MS)
       .map((other) => ({
--- a/packages/gateway/__tests__/usage-counts.test.ts
+++ b/packages/gateway/__tests__/usage-counts.test.ts
@@ -51,7 +51,12 @@
 
   it('is that of the wall clock before the store was reached', () => {
     const environment = { nowMs: () => 10, wallClockMs: () => 5000 };
-    const options = { environment, storeNowMs: () => -Infinity, listPeerOffsets: () => [7] };
+    const options = {
+      environment,
+      storeNowMs: () => -Infinity,
+      listPeerOffsets: () => [7],
+      arePeersKnown: () => true,
+    };
     expect(trueTimes.TrueTime.create(options).convert(8)).toBe(4998);
   });
 });
--- a/packages/gateway/__tests__/usage-duty.test.ts
+++ b/packages/gateway/__tests__/usage-duty.test.ts
@@ -144,7 +144,7 @@
 
   it('takes the true time from most of the gateways', async () => {
     third.wallAheadMs = -3_600_000;
-    const fourth = await fleet.start('vm-4', 'vm-4-first', 7_200_000);
+    const fourth = await fleet.start('vm-4', 'vm-4-first', { wallAheadMs: 7_200_000 });
     await fleet.start('vm-5');
     await time.advance(1000);
     await Promise.all([third, fourth].map((wrong) => fleets.send(wrong, 'a', 2)));
@@ -163,6 +163,24 @@
     expect(fleet.api.calls.at(-1)).toMatchObject({ holder: former.vm, fence });
   });
 
+  // It took itself for the only gateway, and reported its own counts.
+  it('is not continued before the members are known', async () => {
+    await time.advance(4500);
+    await fleets.send(third, 'a', 4);
+    fleets.kill(first);
+    fleets.kill(second);
+    const restarts = [first, second].map(({ vm }) =>
+      fleet.start(vm, 'restarted', { areMembersKnown: false }),
+    );
+    const restarted = await Promise.all(restarts);
+    third.isCut = true;
+    await time.advance(4000);
+    Object.assign(third, { isCut: false });
+    restarted.forEach((each) => Object.assign(each, { areMembersKnown: true }));
+    await time.advance(10_000);
+    expect(fleet.sumReports()).toEqual({ a: 4 });
+  });
+
   it('includes what a gateway counted before it was stopped', async () => {
     await time.advance(5500);
     await fleets.send(third, 'a', 5);
--- a/packages/gateway/__tests__/usage-rows.test.ts
+++ b/packages/gateway/__tests__/usage-rows.test.ts
@@ -58,6 +58,7 @@
       environment,
       storeNowMs: time.nowMs,
       listPeerOffsets: () => [],
+      arePeersKnown: () => true,
     });
     const counter = usageCounters.UsageCounter.create(clock, TIMING, environment.metrics);
     const writer = usageWriters.UsageWriter.create({
--- a/packages/gateway/src/duties/metering.ts
+++ b/packages/gateway/src/duties/metering.ts
@@ -32,7 +32,7 @@
   readonly store: stores.Store;
   readonly leaseMs: number;
   readonly settings: MeteringSettings;
-  readonly members: () => Pick<membershipTasks.MembershipTask, 'listPeers'>;
+  readonly members: () => Pick<membershipTasks.MembershipTask, 'listPeers' | 'isKnown'>;
 }
 
 /** The subject of the duty: all windows form one. */
@@ -62,6 +62,7 @@
         members()
           .listPeers()
           .flatMap(({ clockOffsetMs }) => clockOffsetMs ?? []),
+      arePeersKnown: () => members().isKnown,
     });
     const { windowMs, dueMs, api, callsPerSecond, checksFences } = settings;
     const timing = { windowMs, dueMs };
--- a/packages/gateway/src/duties/true-time.ts
+++ b/packages/gateway/src/duties/true-time.ts
@@ -16,6 +16,8 @@
   readonly storeNowMs: () => number;
   /** The offsets that the other live gateways tell, in milliseconds. */
   readonly listPeerOffsets: () => readonly number[];
+  /** Whether the other live gateways are known. */
+  readonly arePeersKnown: () => boolean;
 }
 
 /** Tells Unix time. */
@@ -32,6 +34,11 @@
     return Number.isFinite(offsetMs) ? Math.round(offsetMs) : undefined;
   }
 
+  /** Whether the time is that of all gateways, and not only that of the own wall clock. */
+  get isKnown(): boolean {
+    return this.ownOffsetMs !== undefined && this.options.arePeersKnown();
+  }
+
   /** Unix time in milliseconds. */
   get nowMs(): number {
     const { environment, storeNowMs, listPeerOffsets } = this.options;
--- a/packages/gateway/src/duties/usage-reporter.ts
+++ b/packages/gateway/src/duties/usage-reporter.ts
@@ -22,7 +22,7 @@
 
 export interface UsageReporterOptions {
   readonly environment: environments.Environment;
-  readonly time: Pick<trueTimes.TrueTime, 'nowMs'>;
+  readonly time: Pick<trueTimes.TrueTime, 'nowMs' | 'isKnown'>;
   readonly timing: usageWindows.UsageTiming;
   readonly ledger: usageLedgers.UsageLedger;
   readonly tenure: Pick<tenures.Tenure, 'fence' | 'sinceMs' | 'reject'>;
@@ -120,6 +120,8 @@
       this.forget();
       return;
     }
+    // Before the members were read, it is not known whose counts are to be awaited.
+    if (!time.isKnown) return;
     const isNew = sinceMs !== this.knownSinceMs;
     if (isNew) this.forget();
     this.giveUp();
--- a/packages/gateway/src/duties/usage-writer.ts
+++ b/packages/gateway/src/duties/usage-writer.ts
@@ -77,6 +77,7 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     clearTimeout(this.timer);
+    if (!this.options.time.isKnown) return;
     this.track();
     const open = [...this.windows].filter(([, progress]) => !progress.hasFinal);
     await Promise.all(
@@ -101,6 +102,7 @@
 
   /** Makes the most urgent write; returns whether it succeeded, if there was one. */
   private async writeNext(): Promise<boolean> {
+    if (!this.options.time.isKnown) return true;
     this.track();
     const { time, timing, counter } = this.options;
     const { nowMs } = time;
--- a/packages/gateway/src/membership/membership-task.ts
+++ b/packages/gateway/src/membership/membership-task.ts
@@ -53,6 +53,8 @@
 
   private loggedMembers = '';
 
+  private hasRead = false;
+
   private readonly errors: errorGuards.ErrorGuard;
 
   private readonly oddRows: oddRows.OddRows;
@@ -94,6 +96,11 @@
     return this.validity.currentTerm;
   }
 
+  /** Whether the other members were read at least once. */
+  get isKnown(): boolean {
+    return this.hasRead;
+  }
+
   /** Whether no other process can consider this one gone. */
   get isMembershipValid(): boolean {
     return this.term !== undefined;
@@ -236,6 +243,7 @@
       records.push(...outcome.rows.flatMap((row) => this.decode(row) ?? []));
     }
     this.view.update(records, environment.nowMs(), sentMs);
+    this.hasRead = true;
     const processes = new Set(records.map(identifyProcess));
     this.stoppingIncarnations.forEach((process) => {
       if (!processes.has(process)) this.stoppingIncarnations.delete(process);
