--- a/packages/gateway/__tests__/support/metering-fleet.ts
+++ b/packages/gateway/__tests__/support/metering-fleet.ts
@@ -36,6 +36,8 @@
   isDead: boolean;
   /** Its process stands still: answers and calls wait until this ends. */
   isFrozen: boolean;
+  /** Whether it has read the members' rows. */
+  areMembersKnown: boolean;
   /** How much further its wall clock has advanced than its monotonic clock. */
   wallAheadMs: number;
   diedMs: number;
@@ -55,6 +57,9 @@
 
   readonly gateways: MeteredGateway[] = [];
 
+  /** The gateway that makes the next call is frozen right before it is sent. */
+  freezesAtNextCall = false;
+
   private constructor(private readonly checksFences: boolean) {
     const { nowMs, pause } = time;
     this.api = standins.MemoryDutyApi.create({ nowMs, pause, checksFences, leaseMs: LEASE_MS });
@@ -65,12 +70,17 @@
   }
 
   /** Starts a gateway on a VM. */
-  async start(vm: string, incarnation = `${vm}-first`, wallAheadMs = 0): Promise<MeteredGateway> {
+  async start(
+    vm: string,
+    incarnation = `${vm}-first`,
+    { wallAheadMs = 0, areMembersKnown = true } = {},
+  ): Promise<MeteredGateway> {
     const state = {
       vm,
       isCut: false,
       isDead: false,
       isFrozen: false,
+      areMembersKnown,
       wallAheadMs,
       diedMs: Infinity,
     };
@@ -89,7 +99,7 @@
         checksFences: this.checksFences,
         api: { reportUsage: (...call) => this.call(state, ...call) },
       },
-      members: () => ({ listPeers: () => this.listPeers(vm) }),
+      members: () => ({ listPeers: () => this.listPeers(vm), isKnown: state.areMembersKnown }),
     });
     const started: MeteredGateway = Object.assign(state, { metering, environment });
     this.gateways.push(started);
@@ -126,6 +136,8 @@
   }
 
   private listPeers(vm: string): memberships.MemberRecord[] {
+    if (this.gateways.some((own) => own.vm === vm && !own.isDead && !own.areMembersKnown))
+      return [];
     return this.gateways
       .filter((other) => other.vm !== vm && time.nowMs() - other.diedMs < EXPIRY_MS)
       .map((other) => ({
@@ -170,6 +182,8 @@
     caller: gateway.DutyCaller,
     report: gateway.UsageReport,
   ): Promise<gateway.DutyCallOutcome> {
+    if (this.freezesAtNextCall) Object.assign(state, { isFrozen: true });
+    this.freezesAtNextCall = false;
     await thaw(state);
     if (state.isDead) return new Promise(() => {});
     if (state.isCut || !caller.mayStillCall()) return { status: 'not-done' };
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -174,6 +174,9 @@
   /** Whether no call of any gateway reaches the store. */
   isStoreAway = false;
 
+  /** The duty of reporting usage; without it the gateways have none. */
+  metering: gateway.MeteringSettings | undefined;
+
   private readonly gateways: gateway.Gateway[] = [];
 
   private readonly gatewaysByAddress = new Map<string, gateway.Gateway>();
@@ -254,6 +257,7 @@
       leaseMs: 3000,
       revocationMs: this.revocationMs,
       jobRetentionMs: 120_000,
+      metering: this.metering,
     });
     this.gateways.push(started);
     this.gatewaysByAddress.set(`${vm}:1`, started);
--- a/packages/gateway/__tests__/usage-duty.test.ts
+++ b/packages/gateway/__tests__/usage-duty.test.ts
@@ -57,11 +57,12 @@
   it('makes no call with a token that was overtaken while the holder was frozen', async () => {
     await time.advance(8000);
     const frozen = fleet.caller;
-    frozen.isFrozen = true;
-    await time.advance(12_000);
+    fleet.freezesAtNextCall = true;
+    await time.advance(20_000);
+    expect(frozen.isFrozen).toBe(true);
     frozen.isFrozen = false;
-    await time.advance(10_000);
-    expect(fleet.api.listWindows()).toEqual(listWindows(5));
+    await time.advance(14_000);
+    expect(fleet.api.listWindows()).toEqual(listWindows(8));
     expect(fleet.caller.vm).not.toBe(frozen.vm);
   });
 
@@ -143,7 +144,7 @@
 
   it('takes the true time from most of the gateways', async () => {
     third.wallAheadMs = -3_600_000;
-    const fourth = await fleet.start('vm-4', 'vm-4-first', 7_200_000);
+    const fourth = await fleet.start('vm-4', 'vm-4-first', { wallAheadMs: 7_200_000 });
     await fleet.start('vm-5');
     await time.advance(1000);
     await Promise.all([third, fourth].map((wrong) => fleets.send(wrong, 'a', 2)));
@@ -162,6 +163,24 @@
     expect(fleet.api.calls.at(-1)).toMatchObject({ holder: former.vm, fence });
   });
 
+  // It took itself for the only gateway, and reported its own counts.
+  it('is not continued before the members are known', async () => {
+    await time.advance(4500);
+    await fleets.send(third, 'a', 4);
+    fleets.kill(first);
+    fleets.kill(second);
+    const restarts = [first, second].map(({ vm }) =>
+      fleet.start(vm, 'restarted', { areMembersKnown: false }),
+    );
+    const restarted = await Promise.all(restarts);
+    third.isCut = true;
+    await time.advance(4000);
+    Object.assign(third, { isCut: false });
+    restarted.forEach((each) => Object.assign(each, { areMembersKnown: true }));
+    await time.advance(10_000);
+    expect(fleet.sumReports()).toEqual({ a: 4 });
+  });
+
   it('includes what a gateway counted before it was stopped', async () => {
     await time.advance(5500);
     await fleets.send(third, 'a', 5);
@@ -210,3 +229,20 @@
     expect(fleet.api.listWindows()).toContain(last);
   });
 });
+
+describe('a token that is rejected', () => {
+  beforeEach(() => jest.useFakeTimers({ now: START_MS }));
+
+  afterEach(() => jest.useRealTimers());
+
+  // The row of the lease was lost, and the tokens began anew.
+  it('ends the tenure, and is not used again', async () => {
+    const fleet = fleets.MeteringFleet.create();
+    await fleet.api.reportUsage({ holder: 'vm-0', fence: 6 }, { windowNo: 1, counts: {} });
+    await fleet.start('vm-1');
+    await time.advance(15_000);
+    expect(fleet.api.rejections).toBe(1);
+    expect(fleet.api.calls.at(-1)?.fence).toBeGreaterThan(6);
+    await fleet.stopAll();
+  });
+});
