--- a/packages/gateway/src/core/body-intake.ts
+++ b/packages/gateway/src/core/body-intake.ts
@@ -45,6 +45,8 @@
  */
 export const SMALL_BODY_BYTES = 64 * 1024;
 const MINIMUM_BYTES_PER_SECOND = 16 * 1024;
+/** Inefficient bodies of any size have to arrive at this rate; the process itself reads them in turns. */
+const MINIMUM_INEFFICIENT_BYTES_PER_SECOND = 1024;
 const RATE_INTERVAL_SWEEPS = 5;
 /**
  * A body of more pieces than this, with fewer bytes in each on average, is inefficient: a piece costs as
@@ -52,7 +54,7 @@
  */
 const EFFICIENT_PIECES = 1000;
 const EFFICIENT_PIECE_BYTES = 32;
-/** Inefficient bodies that are read at the same time; together they take a few milliseconds a turn. */
+/** Inefficient bodies that are read at the same time; each first takes the time of a whole read. */
 const MAXIMUM_INEFFICIENT_BODIES = 4;
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -134,6 +136,7 @@
       stalled.abandon(BodyRefusal.TooSlow);
     }
     entry.isInefficient = true;
+    this.startRate(entry);
     this.inefficient.add(entry);
     return true;
   }
@@ -156,13 +159,16 @@
   }
 
   private isBelowRate(body: IncomingBody): boolean {
-    if (body.reservation.bytes <= SMALL_BODY_BYTES) return false;
+    if (body.reservation.bytes <= SMALL_BODY_BYTES && !body.isInefficient) return false;
     const sweeps = this.sweepCount - body.ratedSweep;
     if (sweeps < RATE_INTERVAL_SWEEPS) return false;
     const seconds = (sweeps * SWEEP_INTERVAL_MS) / MILLISECONDS_PER_SECOND;
     const bytes = body.receivedBytes - body.ratedBytes;
     this.startRate(body);
-    return bytes < MINIMUM_BYTES_PER_SECOND * seconds;
+    const minimum = body.isInefficient
+      ? MINIMUM_INEFFICIENT_BYTES_PER_SECOND
+      : MINIMUM_BYTES_PER_SECOND;
+    return bytes < minimum * seconds;
   }
 
   private isStalled(body: IncomingBody): boolean {
