--- a/packages/gateway/src/duties/usage-writer.ts
+++ b/packages/gateway/src/duties/usage-writer.ts
@@ -30,7 +30,7 @@
 const JITTER_SHARE = 0.08;
 /** Pause between two looks at what is to be written. */
 const MINIMUM_PAUSE_MS = 200;
-/** Keeps the gateways together under 500 writes a second, also after an outage. */
+/** Keeps the gateways together at about 500 writes a second, also after an outage of the store. */
 const PAUSE_PER_GATEWAY_MS = 2;
 /** Pause after a write that failed. */
 const RETRY_PAUSE_MS = 500;
