--- a/packages/gateway/src/replicas/observed-client.ts
+++ b/packages/gateway/src/replicas/observed-client.ts
@@ -87,6 +87,10 @@
     this.errors.run(() => this.client.closeConnections(replica));
   }
 
+  hasIdleConnection(replica: replicas.Replica): boolean {
+    return this.client.hasIdleConnection?.(replica) ?? false;
+  }
+
   close(): Promise<void> {
     return this.client.close();
   }
