--- a/packages/gateway/__tests__/placement.test.ts
+++ b/packages/gateway/__tests__/placement.test.ts
@@ -39,30 +39,6 @@
     expect(new Set(chosen).size).toBe(3);
   });
 
-  // Each new connection costs the replica time.
-  it('prefers a replica with an idle connection among equal ones, and only among these', () => {
-    const isConnected = ({ id }: placement.PlacementCandidate): boolean => id === 'open';
-    const choose = (load: number, draw: number): string | undefined =>
-      placement.choosePlacement(
-        [candidate('a'), candidate('open', { load }), candidate('b')],
-        draw,
-        isConnected,
-      )?.id;
-    expect([0, 0.5, 0.99].map((draw) => choose(0, draw))).toEqual(['open', 'open', 'open']);
-    expect([0, 0.5, 0.99].map((draw) => choose(1, draw))).toEqual(['a', 'b', 'b']);
-  });
-
-  it('prefers none of the worse half for its connection where work factors differ', () => {
-    const list = [1, 1, 1.5, 1.6].map((workFactor, index) =>
-      candidate(`r${index}`, { workFactor }),
-    );
-    const chosen = [0, 0.3, 0.6, 0.9].map(
-      (draw) => placement.choosePlacement(list, draw, ({ id }) => id !== 'r0')?.id,
-    );
-    expect(chosen).not.toContain('r3');
-    expect(chosen).toContain('r0');
-  });
-
   it('uses an ejected replica only when there is no other', () => {
     const ejected = candidate('ejected', { isEjected: true });
     expect(placement.choosePlacement([ejected, candidate('busy', { load: 30 })], 0)?.id).toBe(
--- a/packages/gateway/src/jobs/item-placement.ts
+++ b/packages/gateway/src/jobs/item-placement.ts
@@ -13,7 +13,6 @@
 import * as softwares from '../replicas/software';
 import type * as configurations from '../types/configuration';
 import type * as environments from '../types/environment';
-import type * as replicas from '../types/replica';
 import type * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
 
@@ -21,7 +20,6 @@
   readonly environment: environments.Environment;
   readonly directory: directories.ReplicaDirectory;
   readonly permits: permitRequesters.PermitRequester;
-  readonly caller: Pick<replicas.ReplicaClient, 'hasIdleConnection'>;
   /** Called when an item for which there was no replica may find one. */
   readonly onRoom: () => void;
 }
@@ -82,7 +80,7 @@
     route: configurations.Route,
     nowMs: number,
   ): directories.TrackedReplica | undefined {
-    const { directory, environment, permits, caller } = this.options;
+    const { directory, environment, permits } = this.options;
     const { model } = itemProgress.item;
     const isSuitable = (tracked: directories.TrackedReplica): boolean => {
       const version = directory.getVersion(tracked, model);
@@ -114,11 +112,7 @@
         ),
       );
       const draw = environment.random();
-      const { chosen, reason } = selections.selectReplica(candidates, {
-        needsRoom: true,
-        draw,
-        isConnected: ({ tracked }) => caller.hasIdleConnection?.(tracked.replica) === true,
-      });
+      const { chosen, reason } = selections.selectReplica(candidates, { needsRoom: true, draw });
       if (!chosen) {
         this.lastReason = reason;
         return undefined;
--- a/packages/gateway/src/replicas/observed-client.ts
+++ b/packages/gateway/src/replicas/observed-client.ts
@@ -87,10 +87,6 @@
     this.errors.run(() => this.client.closeConnections(replica));
   }
 
-  hasIdleConnection(replica: replicas.Replica): boolean {
-    return this.client.hasIdleConnection?.(replica) ?? false;
-  }
-
   close(): Promise<void> {
     return this.client.close();
   }
--- a/packages/gateway/src/replicas/placement.ts
+++ b/packages/gateway/src/replicas/placement.ts
@@ -9,9 +9,6 @@
  * Replicas that report a work factor are rarely equal, and all gateways hear of the fastest one at the same
  * moment. There the choice is the better one of two that are drawn at random, which bounds the share of any
  * replica.
- *
- * Among equally good replicas those come first to which this gateway has an idle connection: a new one costs
- * the replica time, and a gateway that runs the items of a step would otherwise open one for most of them.
  */
 
 /** The properties of a replica on which the choice depends. */
@@ -42,25 +39,21 @@
 const MAXIMUM_LOCAL_COST = 1.25;
 /** With fewer of this failure domain, its gateways would all choose the same. */
 const MINIMUM_LOCAL_REPLICAS = 2;
-/** With fewer connected ones the choice would not be one of two. */
-const MINIMUM_CONNECTED_REPLICAS = 2;
 
 /**
  * Chooses a replica; ejected ones only when there are no others, undefined when there are none.
  * @param draw uniform in [0, 1)
- * @param isConnected whether there is an idle connection to a replica
  */
 export function choosePlacement<Candidate extends PlacementCandidate>(
   candidates: readonly Candidate[],
   draw: number,
-  isConnected: (candidate: Candidate) => boolean = () => false,
 ): Candidate | undefined {
   const healthy = candidates.filter((candidate) => !candidate.isEjected);
   const eligible = healthy.length > 0 ? healthy : candidates;
   if (eligible.length === 0) return undefined;
   const medianUnitMs = findMedian(eligible.flatMap((candidate) => candidate.unitMs ?? []));
   if (eligible.some(({ workFactor }) => workFactor !== undefined)) {
-    return chooseOfTwo(eligible, medianUnitMs, draw, isConnected);
+    return chooseOfTwo(eligible, medianUnitMs, draw);
   }
   const costs = eligible.map((candidate) => estimateCost(candidate, medianUnitMs));
   const lowest = Math.min(...costs);
@@ -69,9 +62,7 @@
   );
   const local = best.filter((candidate) => candidate.isLocal);
   const pool = local.length > 0 ? local : best;
-  const connected = pool.filter(isConnected);
-  const preferred = connected.length > 0 ? connected : pool;
-  return preferred[Math.floor(draw * preferred.length)];
+  return pool[Math.floor(draw * pool.length)];
 }
 
 /** Draws two candidates, which may be the same one, and chooses the better one. */
@@ -79,7 +70,6 @@
   eligible: readonly Candidate[],
   medianUnitMs: number | undefined,
   draw: number,
-  isConnected: (candidate: Candidate) => boolean,
 ): Candidate | undefined {
   const costed = eligible.map((candidate) => ({
     candidate,
@@ -90,13 +80,7 @@
   const close = costed.filter(({ cost }) => cost <= limit);
   const local = close.filter(({ candidate }) => candidate.isLocal);
   const isLocalGood = local.some(({ cost }) => cost <= lowest * MAXIMUM_LOCAL_COST);
-  const near = isLocalGood && local.length >= MINIMUM_LOCAL_REPLICAS ? local : close;
-  const medianCost = findMedian(near.map(({ cost }) => cost)) ?? 0;
-  // The worse half is left out, so that a connection is no reason to wait longer than usual.
-  const connected = near.filter(
-    ({ candidate, cost }) => cost <= medianCost && isConnected(candidate),
-  );
-  const pool = connected.length >= MINIMUM_CONNECTED_REPLICAS ? connected : near;
+  const pool = isLocalGood && local.length >= MINIMUM_LOCAL_REPLICAS ? local : close;
   const position = draw * pool.length;
   const first = pool[Math.floor(position)];
   const second = pool[Math.floor((position % 1) * pool.length)];
--- a/packages/gateway/src/replicas/replica-selection.ts
+++ b/packages/gateway/src/replicas/replica-selection.ts
@@ -57,14 +57,12 @@
   readonly draw: number;
   /** Further limits the replicas for a suspect request. */
   readonly narrow?: ((candidates: readonly Candidate[]) => readonly Candidate[]) | undefined;
-  /** Whether there is an idle connection to a replica. */
-  readonly isConnected?: ((candidate: Candidate) => boolean) | undefined;
 }
 
 /** Selects a replica, or tells why there is none now. */
 export function selectReplica<Candidate extends SelectionCandidate>(
   candidates: readonly Candidate[],
-  { needsRoom, draw, narrow = (list) => list, isConnected }: SelectionOptions<Candidate>,
+  { needsRoom, draw, narrow = (list) => list }: SelectionOptions<Candidate>,
 ): Selection<Candidate> {
   const suitable = candidates.filter(({ isSuitable }) => isSuitable);
   if (suitable.length === 0) return { reason: WithheldReason.Unsuitable };
@@ -83,8 +81,7 @@
   }
   const allowed = narrow(roomy);
   const welcome = allowed.filter(({ isAvoided }) => !isAvoided);
-  const eligible = welcome.length > 0 ? welcome : allowed;
-  const chosen = placement.choosePlacement(eligible, draw, isConnected);
+  const chosen = placement.choosePlacement(welcome.length > 0 ? welcome : allowed, draw);
   return chosen ? { chosen } : { reason: WithheldReason.Suspect };
 }
 
--- a/packages/gateway/src/requests/forwarder.ts
+++ b/packages/gateway/src/requests/forwarder.ts
@@ -339,7 +339,7 @@
     authorisation,
   }: ReplicaChoice): Promise<directories.TrackedReplica | undefined> {
     if (service === undefined) return undefined;
-    const { environment, directory, permits, replicaClient } = this.options;
+    const { environment, directory, permits } = this.options;
     const refused = new Set<string>();
     for (;;) {
       if (authorisation?.isValid() === false) return undefined;
@@ -365,8 +365,6 @@
           const allowed = guard ? narrow(open, guard) : open;
           return guard?.isSuspect ? allowed : prefer(allowed);
         },
-        isConnected: ({ tracked }) =>
-          guard?.isSuspect !== true && replicaClient.hasIdleConnection?.(tracked.replica) === true,
       }).chosen?.tracked;
       if (!chosen) return undefined;
       replicaTrials.recordSelection(environment, directory, chosen);
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -250,7 +250,5 @@
    * are not sent.
    */
   closeConnections(replica: Replica): void;
-  /** Whether there is a connection to a replica that carries no exchange; undefined: not known. */
-  hasIdleConnection?(replica: Replica): boolean;
   close(): Promise<void>;
 }
