--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Clients that all ask for the same page. The failure domain with the three replicas of its service fails, and
- * shortly after that all gateways are killed. Replicas and gateways come back.
+ * A route of batch jobs that is split between two engine services. A change of the configuration takes the
+ * whole weight from one of them while a job runs; after that a replica there crashes.
  */
 /* eslint-disable no-await-in-loop, import-x/extensions -- it runs as it stands, without a compiler */
 import path from 'node:path';
@@ -11,50 +11,54 @@
 import { Replica, pause } from '../stand-ins-2/replica.mjs';
 import { Store } from '../stand-ins-2/store.mjs';
 
-const HOST = 'shop.example';
-const PAGE = '/pages/today';
-const CONFIGURATION = {
-  version: 1,
-  routes: [
-    {
-      name: 'pages',
-      host: HOST,
-      path_prefix: '/pages/',
-      kind: 'idempotent',
-      service: 'shop-app',
-      timeout_ms: 2000,
-      target_latency_ms: 300,
-      max_attempts: 3,
-      priority: 1,
-    },
-  ],
-  services: [{ name: 'shop-app', max_conns: 100, health_path: '/health' }],
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 1_048_576,
-    header_timeout_ms: 5000,
-    idle_timeout_ms: 10_000,
-  },
+const HOST = 'train.example';
+const MODEL = 'model-0';
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 1_048_576,
+  header_timeout_ms: 5000,
+  idle_timeout_ms: 10_000,
 };
-const INTERVAL_MS = 40;
-const CRASH_AT_MS = 5000;
-/** The longest that the site file gives for `srv_crash`. */
+const ITEMS = 24;
+const EVENTS = 110;
+const EVENT_MS = 60;
+const CONFIG_APPLY_MS = 2000;
+const CHANGE_AT_MS = 1000;
+/** After the change is in force, and a second more. */
+const CRASH_AT_MS = CHANGE_AT_MS + CONFIG_APPLY_MS + 1000;
 const CRASH_MS = 4500;
-const FINAL_FAULT_AT_MS = 7000;
-const DOWN_MS = 1000;
-const RECOVER_MS = 12_000;
-/** How long requests are counted after that. */
-const COUNTED_MS = 20_000;
-const LEAST_SHARE = 0.25;
+const RESULTS_WAIT_MS = 60_000;
 
 const run = new Case(path.dirname(url.fileURLToPath(import.meta.url)));
 
-function computeShare(answers) {
-  const served = answers.filter(({ status, isWhole }) => status === 200 && isWhole).length;
+function createConfiguration(version, weightOfB) {
   return {
-    served,
-    sent: answers.length,
-    share: answers.length === 0 ? 0 : served / answers.length,
+    version,
+    routes: [
+      {
+        name: 'rollouts',
+        host: HOST,
+        path_prefix: '/rollouts/',
+        kind: 'rollout',
+        traffic_split: [
+          { service: 'llm-a', weight: 1 },
+          { service: 'llm-b', weight: weightOfB },
+        ],
+        timeout_ms: 10_000,
+        target_latency_ms: 500,
+        result_due_ms: 7500,
+        item_ttl_s: 90,
+        max_attempts: 3,
+        priority: 1,
+      },
+    ],
+    services: ['llm-a', 'llm-b'].map((name) => ({
+      name,
+      max_conns: 140,
+      health_path: '/health',
+      engine: { slots: 8, kv_capacity: 40_578, stride: 1, models: [{ name: MODEL }] },
+    })),
+    limits: LIMITS,
   };
 }
 
@@ -62,85 +66,91 @@
   const store = new Store();
   await store.listen();
   run.closeLater(() => store.close());
-  store.write('op', 'config', CONFIGURATION);
-  const replicas = [];
-  const startReplica = async (number, port) => {
-    const replica = new Replica(store, {
-      id: `i-${number}-${replicas.length}`,
-      service: 'shop-app',
-      zone: 'zone-b',
-      slots: 6,
-      workMs: 150,
+  store.write('op', 'config', createConfiguration(1, 1));
+  store.write('op', `version/${MODEL}`, { model: MODEL, version: 1 });
+  const createReplica = (service, number) =>
+    new Replica(store, {
+      id: `i-${service}-${number}`,
+      service,
+      zone: 'zone-a',
+      slots: 8,
+      workMs: EVENT_MS,
+      isStreaming: true,
+      models: { [MODEL]: 1 },
+      countEvents: () => EVENTS,
+      createData: (id, event) => `${id}/${event}`,
     });
-    replicas.push(replica);
-    await replica.start(port);
-    return replica;
-  };
-  const first = await Promise.all([1, 2, 3].map((number) => startReplica(number)));
-  const gateways = [1, 2].map(
-    (number) =>
-      new Gateway(`front-${number}`, 'zone-a', store.address, { 'zones.zone-b': 'region' }),
+  const replicas = ['llm-a', 'llm-b'].flatMap((service) =>
+    [1, 2, 3].map((number) => createReplica(service, number)),
   );
+  await Promise.all(replicas.map((replica) => replica.start()));
+  const gateways = [1, 2].map((number) => new Gateway(`front-${number}`, 'zone-a', store.address));
   gateways.forEach((gateway) => run.closeLater(() => gateway.discard()));
   await Promise.all(gateways.map((gateway) => gateway.start()));
-  await pause(4000);
+  await pause(5000);
 
-  const startMs = performance.now();
-  let backMs = hasTrouble ? Infinity : startMs + FINAL_FAULT_AT_MS + DOWN_MS;
-  const crash = async () => {
-    await pause(CRASH_AT_MS);
-    run.note('the failure domain of the replicas fails');
-    first.forEach((replica) => replica.crash());
-    await pause(CRASH_MS);
-    first.forEach((replica) => replica.unregister());
-    await Promise.all([1, 2, 3].map((number) => startReplica(number)));
-    run.note('the replicas are back');
-  };
-  const killAll = async () => {
-    await pause(FINAL_FAULT_AT_MS);
-    run.note('all gateways are killed');
-    gateways.forEach((gateway) => gateway.signal('SIGKILL'));
-    await pause(DOWN_MS);
-    await Promise.all(gateways.map((gateway) => gateway.start()));
-    backMs = performance.now();
-    run.note('all gateways are back');
-  };
-  const trouble = hasTrouble ? Promise.all([crash(), killAll()]) : Promise.resolve();
+  const job = createId();
+  const requests = Array.from({ length: ITEMS }, (_unused, index) => ({
+    id: createId(),
+    path: '/rollouts/generate',
+    headers: { 'X-Azureworks-Model': MODEL, 'X-Azureworks-Token-Count': `16,${EVENTS}` },
+    body: Buffer.from(`prompt ${index}`).toString('base64'),
+    token_count: 16 + EVENTS,
+    group: `group-${index % 6}`,
+  }));
+  const submitted = await send(gateways[0], {
+    method: 'POST',
+    path: '/rollouts/submit',
+    host: HOST,
+    id: job,
+    body: JSON.stringify({ step: 0, model: MODEL, min_version: 1, desired: 6, requests }),
+  });
+  run.note(`job ${job} with ${ITEMS} items: ${submitted.status}`);
+  if (submitted.status !== 202) throw new Error('the job was not accepted');
 
-  const answers = [];
-  const pending = [];
-  const isOver = () => performance.now() > backMs + RECOVER_MS + COUNTED_MS;
-  for (let number = 0; !isOver(); number += 1) {
-    const sentMs = performance.now();
-    const gateway = gateways[number % 2];
-    const id = createId();
-    const attempt = send(gateway, {
+  let changedMs = Infinity;
+  if (hasTrouble) {
+    await pause(CHANGE_AT_MS);
+    store.write('op', 'config', createConfiguration(4, 0));
+    changedMs = performance.now();
+    run.note('configuration 4 acknowledged: llm-a has weight 1, llm-b has weight 0');
+    await pause(CRASH_AT_MS - CHANGE_AT_MS);
+    const crashed = replicas.find(({ options }) => options.service === 'llm-b');
+    run.note(`${crashed.options.id} crashes with ${crashed.running} runs`);
+    crashed.crash();
+    setTimeout(async () => {
+      crashed.unregister();
+      const next = createReplica('llm-b', 4);
+      await next.start();
+      replicas.push(next);
+    }, CRASH_MS);
+  }
+
+  let listed = [];
+  const endMs = performance.now() + RESULTS_WAIT_MS;
+  while (listed.length < ITEMS && performance.now() < endMs) {
+    const page = await send(gateways[1], {
       method: 'GET',
-      path: PAGE,
+      path: `/lots/${job}?after=0`,
       host: HOST,
-      id,
-      headers: { 'x-azureworks-deadline-ms': 1500 },
     });
-    pending.push(attempt.then((answer) => answers.push({ id, gateway, sentMs, ...answer })));
-    await pause(INTERVAL_MS);
+    if (page.status === 200) listed = JSON.parse(page.body).results;
+    await pause(500);
   }
-  await Promise.all([...pending, trouble]);
+  run.note(`${listed.length} of ${ITEMS} items are listed`);
 
-  const ran = new Set(replicas.flatMap((replica) => replica.runs).map(({ id }) => id));
-  answers
-    .sort((one, other) => one.sentMs - other.sentMs)
-    .forEach(({ id, gateway, sentMs, status, body }) => {
-      const at = ((sentMs - run.startMs) / 1000).toFixed(3);
-      const text = status === 200 ? '' : ` ${body.slice(0, 120)}`;
-      run.note(`sent at ${at} ${id} to ${gateway.name}: ${status}, ran ${ran.has(id)}${text}`);
-    });
-  const before = computeShare(answers.filter(({ sentMs }) => sentMs < startMs + CRASH_AT_MS - 500));
-  const after = computeShare(answers.filter(({ sentMs }) => sentMs > backMs + RECOVER_MS));
-  run.note(`before the faults ${before.served} of ${before.sent} were served`);
-  run.note(
-    `from 12 s after the gateways were back on ${after.served} of ${after.sent} were served`,
+  const runs = replicas
+    .flatMap((replica) => replica.runs)
+    .sort((first, second) => first.atMs - second.atMs);
+  const stale = runs.filter(
+    ({ service, atMs }) => service === 'llm-b' && atMs > changedMs + CONFIG_APPLY_MS,
+  );
+  runs.forEach(({ id, replica, atMs, lastEventId }) => {
+    const seconds = ((atMs - run.startMs) / 1000).toFixed(3);
+    run.note(`at ${seconds} item ${id} reached ${replica}, after event ${lastEventId ?? 'none'}`);
+  });
+  return stale.map(
+    ({ id, replica, atMs }) =>
+      `CONFIG: item ${id} reached ${replica} ${Math.round(atMs - changedMs)} ms after the acknowledgement`,
   );
-  return before.share >= LEAST_SHARE && after.share < LEAST_SHARE
-    ? [`RECOVER: ${after.served} of ${after.sent} requests served after the final fault`]
-    : [];
 });
