--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -131,7 +131,7 @@
     .sort((one, other) => one.sentMs - other.sentMs)
     .forEach(({ id, gateway, sentMs, status, body }) => {
       const at = ((sentMs - run.startMs) / 1000).toFixed(3);
-      const text = status === 200 ? '' : ` ${body.slice(0, 120)}`;
+      const text = status === 200 ? '' : ` ${/"code":"([^"]*)"/.exec(body)?.[1] ?? ''}`;
       run.note(`sent at ${at} ${id} to ${gateway.name}: ${status}, ran ${ran.has(id)}${text}`);
     });
   const before = computeShare(answers.filter(({ sentMs }) => sentMs < startMs + CRASH_AT_MS - 500));
