--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A route of batch jobs that is split between two engine services. A change of the configuration takes the
- * whole weight from one of them while a job runs; after that a replica there crashes.
+ * A route under the prefix of an application's items, added by a change of the configuration, on a host that
+ * has no batch jobs.
  */
 /* eslint-disable no-await-in-loop, import-x/extensions -- it runs as it stands, without a compiler */
 import path from 'node:path';
@@ -11,146 +11,107 @@
 import { Replica, pause } from '../stand-ins-2/replica.mjs';
 import { Store } from '../stand-ins-2/store.mjs';
 
-const HOST = 'train.example';
-const MODEL = 'model-0';
+const HOST = 'shop.example';
 const LIMITS = {
   max_header_bytes: 16_384,
   max_body_bytes: 1_048_576,
   header_timeout_ms: 5000,
   idle_timeout_ms: 10_000,
 };
-const ITEMS = 24;
-const EVENTS = 110;
-const EVENT_MS = 60;
-const CONFIG_APPLY_MS = 2000;
-const CHANGE_AT_MS = 1000;
-/** After the change is in force, and a second more. */
-const CRASH_AT_MS = CHANGE_AT_MS + CONFIG_APPLY_MS + 1000;
-const CRASH_MS = 4500;
-const RESULTS_WAIT_MS = 60_000;
+const SECONDS = 10;
+const CHANGE_AT_MS = 2000;
+/** After the acknowledgement, `config_apply_ms`, and a second more. */
+const SETTLED_MS = 3000;
+const INTERVAL_MS = 50;
+/** Own answers with 4xx that the rule allows, besides one in 500. */
+const ALLOWED = 5;
 
-const run = new Case(path.dirname(url.fileURLToPath(import.meta.url)));
-
-function createConfiguration(version, weightOfB) {
+function createRoute(name, prefix) {
   return {
-    version,
-    routes: [
-      {
-        name: 'rollouts',
-        host: HOST,
-        path_prefix: '/rollouts/',
-        kind: 'rollout',
-        traffic_split: [
-          { service: 'llm-a', weight: 1 },
-          { service: 'llm-b', weight: weightOfB },
-        ],
-        timeout_ms: 10_000,
-        target_latency_ms: 500,
-        result_due_ms: 7500,
-        item_ttl_s: 90,
-        max_attempts: 3,
-        priority: 1,
-      },
-    ],
-    services: ['llm-a', 'llm-b'].map((name) => ({
-      name,
-      max_conns: 140,
-      health_path: '/health',
-      engine: { slots: 8, kv_capacity: 40_578, stride: 1, models: [{ name: MODEL }] },
-    })),
-    limits: LIMITS,
+    name,
+    host: HOST,
+    path_prefix: prefix,
+    kind: 'idempotent',
+    service: 'shop-app',
+    timeout_ms: 2000,
+    target_latency_ms: 200,
+    max_attempts: 3,
+    priority: 1,
   };
 }
 
+const run = new Case(path.dirname(url.fileURLToPath(import.meta.url)));
+
 await run.run(async () => {
   const store = new Store();
   await store.listen();
   run.closeLater(() => store.close());
-  store.write('op', 'config', createConfiguration(1, 1));
-  store.write('op', `version/${MODEL}`, { model: MODEL, version: 1 });
-  const createReplica = (service, number) =>
-    new Replica(store, {
-      id: `i-${service}-${number}`,
-      service,
-      zone: 'zone-a',
-      slots: 8,
-      workMs: EVENT_MS,
-      isStreaming: true,
-      models: { [MODEL]: 1 },
-      countEvents: () => EVENTS,
-      createData: (id, event) => `${id}/${event}`,
+  const writeConfiguration = (version, routes) => {
+    store.write('op', 'config', {
+      version,
+      routes,
+      services: [{ name: 'shop-app', max_conns: 100, health_path: '/health' }],
+      limits: LIMITS,
     });
-  const replicas = ['llm-a', 'llm-b'].flatMap((service) =>
-    [1, 2, 3].map((number) => createReplica(service, number)),
+    run.note(`configuration ${version}: ${routes.map(({ path_prefix: prefix }) => prefix)}`);
+  };
+  writeConfiguration(1, [createRoute('pages', '/pages/')]);
+  const replicas = Array.from(
+    { length: 3 },
+    (_unused, index) =>
+      new Replica(store, {
+        id: `i-${index}`,
+        service: 'shop-app',
+        zone: 'zone-a',
+        slots: 6,
+        workMs: 20,
+      }),
   );
   await Promise.all(replicas.map((replica) => replica.start()));
   const gateways = [1, 2].map((number) => new Gateway(`front-${number}`, 'zone-a', store.address));
   gateways.forEach((gateway) => run.closeLater(() => gateway.discard()));
   await Promise.all(gateways.map((gateway) => gateway.start()));
-  await pause(5000);
+  await pause(4000);
 
-  const job = createId();
-  const requests = Array.from({ length: ITEMS }, (_unused, index) => ({
-    id: createId(),
-    path: '/rollouts/generate',
-    headers: { 'X-Azureworks-Model': MODEL, 'X-Azureworks-Token-Count': `16,${EVENTS}` },
-    body: Buffer.from(`prompt ${index}`).toString('base64'),
-    token_count: 16 + EVENTS,
-    group: `group-${index % 6}`,
-  }));
-  const submitted = await send(gateways[0], {
-    method: 'POST',
-    path: '/rollouts/submit',
-    host: HOST,
-    id: job,
-    body: JSON.stringify({ step: 0, model: MODEL, min_version: 1, desired: 6, requests }),
-  });
-  run.note(`job ${job} with ${ITEMS} items: ${submitted.status}`);
-  if (submitted.status !== 202) throw new Error('the job was not accepted');
-
-  let changedMs = Infinity;
-  if (hasTrouble) {
-    await pause(CHANGE_AT_MS);
-    store.write('op', 'config', createConfiguration(4, 0));
-    changedMs = performance.now();
-    run.note('configuration 4 acknowledged: llm-a has weight 1, llm-b has weight 0');
-    await pause(CRASH_AT_MS - CHANGE_AT_MS);
-    const crashed = replicas.find(({ options }) => options.service === 'llm-b');
-    run.note(`${crashed.options.id} crashes with ${crashed.running} runs`);
-    crashed.crash();
-    setTimeout(async () => {
-      crashed.unregister();
-      const next = createReplica('llm-b', 4);
-      await next.start();
-      replicas.push(next);
-    }, CRASH_MS);
-  }
-
-  let listed = [];
-  const endMs = performance.now() + RESULTS_WAIT_MS;
-  while (listed.length < ITEMS && performance.now() < endMs) {
-    const page = await send(gateways[1], {
+  const answers = [];
+  const pending = [];
+  const startMs = performance.now();
+  let changedMs;
+  for (let number = 0; performance.now() - startMs < SECONDS * 1000; number += 1) {
+    const nowMs = performance.now();
+    if (hasTrouble && changedMs === undefined && nowMs - startMs >= CHANGE_AT_MS) {
+      changedMs = nowMs;
+      writeConfiguration(4, [createRoute('pages', '/pages/'), createRoute('items', '/items/')]);
+    }
+    const isSettled = changedMs !== undefined && nowMs - changedMs >= SETTLED_MS;
+    const target = isSettled && number % 2 === 0 ? `/items/${number}` : `/pages/${number}`;
+    const id = createId();
+    const gateway = gateways[Math.floor(number / 2) % 2];
+    const attempt = send(gateway, {
       method: 'GET',
-      path: `/lots/${job}?after=0`,
+      path: target,
       host: HOST,
+      id,
+      headers: { 'x-azureworks-deadline-ms': 1500 },
     });
-    if (page.status === 200) listed = JSON.parse(page.body).results;
-    await pause(500);
+    pending.push(
+      attempt.then((answer) => {
+        answers.push({ target, ...answer });
+        const stamp = answer.headers['x-azureworks-server-stamp'] ?? 'none';
+        run.note(`${gateway.name} ${id} GET ${target}: ${answer.status}, stamp ${stamp}`);
+      }),
+    );
+    await pause(INTERVAL_MS);
   }
-  run.note(`${listed.length} of ${ITEMS} items are listed`);
+  await Promise.all(pending);
 
-  const runs = replicas
-    .flatMap((replica) => replica.runs)
-    .sort((first, second) => first.atMs - second.atMs);
-  const stale = runs.filter(
-    ({ service, atMs }) => service === 'llm-b' && atMs > changedMs + CONFIG_APPLY_MS,
-  );
-  runs.forEach(({ id, replica, atMs, lastEventId }) => {
-    const seconds = ((atMs - run.startMs) / 1000).toFixed(3);
-    run.note(`at ${seconds} item ${id} reached ${replica}, after event ${lastEventId ?? 'none'}`);
-  });
-  return stale.map(
-    ({ id, replica, atMs }) =>
-      `CONFIG: item ${id} reached ${replica} ${Math.round(atMs - changedMs)} ms after the acknowledgement`,
+  const ran = replicas.flatMap((replica) => replica.runs).length;
+  const denied = answers.filter(
+    ({ status, headers }) =>
+      status >= 300 && status < 500 && headers['x-azureworks-server-stamp'] === undefined,
   );
+  run.note(`${answers.length} requests, ${ran} ran, ${denied.length} were denied`);
+  return denied.length <= ALLOWED + answers.length / 500
+    ? []
+    : [`DENIED: ${denied.length} of ${answers.length} requests, all of them proper`];
 });
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A route under the prefix of an application's items, added by a change of the configuration, on a host that
- * has no batch jobs.
+ * Streams that may not run twice, at replicas of which some fail a part of their requests after they have
+ * begun to run them.
  */
 /* eslint-disable no-await-in-loop, import-x/extensions -- it runs as it stands, without a compiler */
 import path from 'node:path';
@@ -11,34 +11,32 @@
 import { Replica, pause } from '../stand-ins-2/replica.mjs';
 import { Store } from '../stand-ins-2/store.mjs';
 
-const HOST = 'shop.example';
+const HOST = 'talk.example';
+const ROUTE = {
+  name: 'talk',
+  host: HOST,
+  path_prefix: '/talk/',
+  kind: 'streaming',
+  service: 'talk-lm',
+  timeout_ms: 6000,
+  target_latency_ms: 500,
+  max_attempts: 3,
+  priority: 1,
+};
 const LIMITS = {
   max_header_bytes: 16_384,
   max_body_bytes: 1_048_576,
   header_timeout_ms: 5000,
   idle_timeout_ms: 10_000,
 };
-const SECONDS = 10;
-const CHANGE_AT_MS = 2000;
-/** After the acknowledgement, `config_apply_ms`, and a second more. */
-const SETTLED_MS = 3000;
-const INTERVAL_MS = 50;
-/** Own answers with 4xx that the rule allows, besides one in 500. */
-const ALLOWED = 5;
-
-function createRoute(name, prefix) {
-  return {
-    name,
-    host: HOST,
-    path_prefix: prefix,
-    kind: 'idempotent',
-    service: 'shop-app',
-    timeout_ms: 2000,
-    target_latency_ms: 200,
-    max_attempts: 3,
-    priority: 1,
-  };
-}
+const EVENTS = 8;
+const REPLICAS = 7;
+/** One of seven replicas fails two of five requests for 5 s, as `srv_grey` does at most. */
+const GREY_SHARE = 0.4;
+const GREY_MS = 5000;
+const SECONDS = 9;
+const INTERVAL_MS = 20;
+const REFUSALS = [408, 421, 429, 503];
 
 const run = new Case(path.dirname(url.fileURLToPath(import.meta.url)));
 
@@ -46,25 +44,41 @@
   const store = new Store();
   await store.listen();
   run.closeLater(() => store.close());
-  const writeConfiguration = (version, routes) => {
-    store.write('op', 'config', {
-      version,
-      routes,
-      services: [{ name: 'shop-app', max_conns: 100, health_path: '/health' }],
-      limits: LIMITS,
-    });
-    run.note(`configuration ${version}: ${routes.map(({ path_prefix: prefix }) => prefix)}`);
-  };
-  writeConfiguration(1, [createRoute('pages', '/pages/')]);
+  store.write('op', 'config', {
+    version: 1,
+    routes: [ROUTE],
+    services: [{ name: 'talk-lm', max_conns: 100, health_path: '/health' }],
+    limits: LIMITS,
+  });
+
+  let isGrey = false;
+  let greyRequests = 0;
   const replicas = Array.from(
-    { length: 3 },
+    { length: REPLICAS },
     (_unused, index) =>
       new Replica(store, {
         id: `i-${index}`,
-        service: 'shop-app',
+        service: 'talk-lm',
         zone: 'zone-a',
-        slots: 6,
+        slots: 8,
         workMs: 20,
+        isStreaming: true,
+        countEvents: () => EVENTS,
+        createData: (id, event) => `${id}/${event}`,
+        onRequest: async (ran, request, response, common) => {
+          if (!isGrey || index !== 0) return false;
+          greyRequests += 1;
+          if ((greyRequests * GREY_SHARE) % 1 >= GREY_SHARE) return false;
+          // It has worked on the request for a while, and does not say that it has not run.
+          await pause(30);
+          response.writeHead(503, {
+            ...common,
+            'x-azureworks-server-stamp': `i-${index}.${ran.id}`,
+            'content-length': 0,
+          });
+          response.end();
+          return true;
+        },
       }),
   );
   await Promise.all(replicas.map((replica) => replica.start()));
@@ -76,42 +90,43 @@
   const answers = [];
   const pending = [];
   const startMs = performance.now();
-  let changedMs;
   for (let number = 0; performance.now() - startMs < SECONDS * 1000; number += 1) {
-    const nowMs = performance.now();
-    if (hasTrouble && changedMs === undefined && nowMs - startMs >= CHANGE_AT_MS) {
-      changedMs = nowMs;
-      writeConfiguration(4, [createRoute('pages', '/pages/'), createRoute('items', '/items/')]);
-    }
-    const isSettled = changedMs !== undefined && nowMs - changedMs >= SETTLED_MS;
-    const target = isSettled && number % 2 === 0 ? `/items/${number}` : `/pages/${number}`;
+    const sinceMs = performance.now() - startMs;
+    isGrey = hasTrouble && sinceMs >= 2000 && sinceMs < 2000 + GREY_MS;
     const id = createId();
-    const gateway = gateways[Math.floor(number / 2) % 2];
+    const gateway = gateways[number % 2];
     const attempt = send(gateway, {
-      method: 'GET',
-      path: target,
+      method: 'POST',
+      path: `/talk/${number}`,
       host: HOST,
       id,
-      headers: { 'x-azureworks-deadline-ms': 1500 },
+      headers: { 'x-azureworks-deadline-ms': 5000 },
+      body: `prompt ${number}`,
     });
     pending.push(
-      attempt.then((answer) => {
-        answers.push({ target, ...answer });
-        const stamp = answer.headers['x-azureworks-server-stamp'] ?? 'none';
-        run.note(`${gateway.name} ${id} GET ${target}: ${answer.status}, stamp ${stamp}`);
-      }),
+      attempt.then((answer) => answers.push({ id, gateway: gateway.name, sinceMs, ...answer })),
     );
     await pause(INTERVAL_MS);
   }
   await Promise.all(pending);
 
-  const ran = replicas.flatMap((replica) => replica.runs).length;
-  const denied = answers.filter(
-    ({ status, headers }) =>
-      status >= 300 && status < 500 && headers['x-azureworks-server-stamp'] === undefined,
+  const runs = new Map();
+  replicas.flatMap((replica) => replica.runs).forEach((ran) => runs.set(ran.id, ran));
+  const counts = {};
+  answers.forEach(({ status }) => Object.assign(counts, { [status]: (counts[status] ?? 0) + 1 }));
+  run.note(`answers by status: ${JSON.stringify(counts)}; requests that ran: ${runs.size}`);
+  answers.forEach(({ id, gateway, sinceMs, status, isWhole }) => {
+    const ran = runs.get(id);
+    const at = ran ? `ran at ${ran.replica}` : 'did not run';
+    run.note(
+      `${id} sent to ${gateway} after ${Math.round(sinceMs)} ms: ${status}, whole ${isWhole}, ${at}`,
+    );
+  });
+  const refused = answers.filter(({ id, status }) => REFUSALS.includes(status) && runs.has(id));
+  refused.forEach(({ id, status }) =>
+    run.note(`request ${id} began to run at ${runs.get(id).replica}, and was answered ${status}`),
   );
-  run.note(`${answers.length} requests, ${ran} ran, ${denied.length} were denied`);
-  return denied.length <= ALLOWED + answers.length / 500
+  return refused.length === 0
     ? []
-    : [`DENIED: ${denied.length} of ${answers.length} requests, all of them proper`];
+    : [`REFUSED: ${refused.length} streams were answered with a promise, and have run`];
 });
