--- a/review/stand-ins-2/case.mjs
+++ b/review/stand-ins-2/case.mjs
@@ -10,6 +10,9 @@
 /** Whether the case runs with its disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
+// The gateways end with this process.
+['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 export class Case {
   constructor(folder) {
     this.file = path.join(folder, 'record.txt');
