Requests of an application are served on any path that its route has

Cause: the HTTP server for clients took GET and DELETE of /lots/ID and GET of /items/ID for calls about batch jobs by the path alone, before the route was looked up; an operator may choose these paths, too. It also decoded the id of any such path, so that /items/100% ended in a 502.

Change: the longest prefix selects the route of these calls as of all others. Where that is the route of an application, the call is a request, unless the host has a batch job of that id: jobs stay readable after their route was moved or removed, at a gateway that has not read it, and beside routes of applications. Without a configuration a call about a job gets 503, not 404.

--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -24,12 +24,13 @@
 import * as authorisers from '../organisations/authoriser';
 import * as confirmations from '../organisations/confirmation';
 import * as forwarders from '../requests/forwarder';
+import * as jobCalls from '../requests/job-call';
 import * as plannedStops from '../requests/planned-stop';
 import * as routedStores from '../store/routed-store';
 import * as softwareHistories from '../streams/software-history';
 import * as streamOrigins from '../streams/stream-origins';
 import * as tableWatches from '../store/table-watch';
-import type * as answers from '../jobs/answer';
+import * as answers from '../jobs/answer';
 import type * as jobs from '../types/batch-job';
 import * as configurations from '../types/configuration';
 import type * as environments from '../types/environment';
@@ -82,6 +83,9 @@
 /** When a request may come again that did not fit the memory: other gateways may have room at once. */
 export const MEMORY_RETRY_AFTER_MS = 200;
 
+/** How long a request on an application's route waits to learn whether its host has a job of that id. */
+const JOB_CHECK_MS = 250;
+
 /** One gateway. */
 export class Gateway {
   readonly jobs: jobServices.JobService;
@@ -107,6 +111,8 @@
 
   private readonly supervisor: runtime.Supervisor;
 
+  private readonly jobHosts = jobCalls.JobHosts.create();
+
   private seeds: readonly string[];
 
   private isStopping = false;
@@ -277,7 +283,8 @@
       countGateways: () => this.members.listWorkers().length,
     });
     configuration.subscribe({
-      onConfigurationChanged: ({ keyRing }) => {
+      onConfigurationChanged: ({ keyRing, routes }) => {
+        this.jobHosts.add(routes);
         runner.scheduleDispatch();
         if (keyRing) metrics.gauge('configuration_age_ms', {}, () => confirmation.ageMs);
       },
@@ -397,8 +404,25 @@
     );
   }
 
+  /** Whether a call on a path that names a batch job is about that job, and no request on a route. */
+  async isJobCall({ request, path }: exchanges.CallerRequest, jobId: string): Promise<boolean> {
+    const { id: attemptId, host } = request;
+    const hasAttemptId = attemptId !== '';
+    const subject = jobCalls.classifyCall({
+      route: this.configuration.routeTable?.find(host, path),
+      hasAttemptId,
+      hasJobs: this.jobHosts.has(host),
+    });
+    if (subject !== jobCalls.CallSubject.Unclear) return subject === jobCalls.CallSubject.Job;
+    const check = this.jobs.isOfHost(jobId, host);
+    const limit = this.options.environment.pause(JOB_CHECK_MS).then(() => undefined);
+    return (await Promise.race([check, limit])) ?? !hasAttemptId;
+  }
+
   /** Authorises a call about a batch job; the name is that of the organisation that it is made for. */
   async authoriseJobCall(key: string | undefined): Promise<answers.Answer<string | undefined>> {
+    // Without a configuration it is not known whether jobs belong to organisations.
+    if (!this.configuration.current) return answers.fail('no-configuration');
     const outcome = await this.authoriser.authoriseJobCall(key);
     if (!outcome.isOk) return outcome;
     return { isOk: true, value: outcome.authorisation?.organisation.name };
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -102,6 +102,21 @@
     return this.owned.has(id);
   }
 
+  /** Whether there is a job that was submitted to a host; undefined: the store gives no answer. */
+  async isOfHost(id: string, host: string): Promise<boolean | undefined> {
+    const known = this.owned.get(id)?.head ?? this.jobCache.get(id);
+    const head = known ?? (await this.readHead(id));
+    if (head === jobStores.UNREADABLE) return undefined;
+    return head?.host.toLowerCase() === host.toLowerCase();
+  }
+
+  private async readHead(
+    id: string,
+  ): Promise<records.JobHead | undefined | typeof jobStores.UNREADABLE> {
+    const state = await this.options.store.readHead(id);
+    return state === jobStores.UNREADABLE ? state : state?.head;
+  }
+
   /** The jobs that this gateway runs now, as far as it knows. */
   listOpen(): ownedJobs.OwnedJob[] {
     return [...this.owned.values()].filter((job) => job.isOpen);
--- a/packages/gateway/src/jobs/result-reader.ts
+++ b/packages/gateway/src/jobs/result-reader.ts
@@ -47,6 +47,8 @@
 /** Cached properties of a job that may run on another gateway. */
 export interface CachedJob {
   readonly total: number;
+  /** The host to which it was submitted. */
+  readonly host: string;
   /** The owner when the head of the job was last read; null when it is not known. */
   readonly owner: records.JobOwner | null;
   /** Whether nothing more is listed, as the job was ended or finished. */
@@ -56,8 +58,9 @@
 }
 
 /** What is cached of a job that may go on. */
-export function createCachedJob({ total, owner, organisation }: records.JobHead): CachedJob {
-  return { total, owner, organisation };
+export function createCachedJob(head: records.JobHead): CachedJob {
+  const { total, host, owner, organisation } = head;
+  return { total, host, owner, organisation };
 }
 
 export interface ResultReaderOptions {
