A status that promises "not run" is not passed on for what may have run

Cause: plain calls turned a replica's 503 without "not run" into 502, streams passed any answer on; and plain calls looked at statuses from 500 on only, so that 408 and 429 were passed on as they are.

Change: one place, answer-policy, decides what an answer of a replica lets the gateway say, for plain requests, streams (also resumed ones and ones whose head was sent) and scoring calls. A stream that may be resumed, or an idempotent request, goes on elsewhere. A success without a signature is treated the same. Failures of the gateway itself get a status that promises "not run" only with that verdict.

--- a/packages/decisions/src/core/errors.ts
+++ b/packages/decisions/src/core/errors.ts
@@ -126,9 +126,19 @@
   };
 }
 
-/** The HTTP status of a failure. */
-export function getHttpStatus(failure: Failure): number {
-  return ErrorTable[failure.code].status;
+/** Statuses that promise a caller that its request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether an HTTP status promises that the request has not run and never will. */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
+/** The HTTP status of a failure. It promises nothing that the verdict does not hold. */
+export function getHttpStatus({ code, verdict }: Failure): number {
+  const { status } = ErrorTable[code];
+  const isKept = verdict === NotRun || !promisesNotRun(status);
+  return isKept ? status : ErrorTable['outcome-unknown'].status;
 }
 
 /** Whether `text` is an error code. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,7 @@
   type FailureOptions,
   createFailure,
   getHttpStatus,
+  promisesNotRun,
   isErrorCode,
 } from './core/errors';
 export { chooseNode, rankNodes } from './core/rendezvous';
--- a/packages/gateway/__tests__/plain-calls.test.ts
+++ b/packages/gateway/__tests__/plain-calls.test.ts
@@ -107,14 +107,25 @@
     expect(result).toMatchObject({ attempts: 1, reply: { answer: { status: 500 } } });
   });
 
-  it('never returns a refusal status for a request that ran', async () => {
-    replicas.getBehaviour('r1').status = 503;
-    const { result } = await run({ isIdempotent: false });
-    expect(getFailure(result.reply)).toMatchObject({
-      code: 'target-failed',
-      verdict: 'may-have-run',
-    });
-  });
+  // Guards against a status of a replica that promises "not run" for a request that it may have run.
+  it.each([408, 421, 429, 503])(
+    'never returns the refusal status %d for a request that ran',
+    async (status) => {
+      ['r1', 'r2', 'r3'].forEach((id) => {
+        replicas.getBehaviour(id).status = status;
+      });
+      for (const isIdempotent of [false, true]) {
+        const { result } = await run({ isIdempotent });
+        const failure = { code: 'target-failed', verdict: 'may-have-run' };
+        expect(getFailure(result.reply)).toMatchObject(failure);
+        expect(result.attempts).toBe(isIdempotent ? 2 : 1);
+      }
+      replicas.getBehaviour('r2').status = 200;
+      expect((await run()).result.reply).toMatchObject({ answer: { status: 200 } });
+      replicas.getBehaviour('r2').status = 500;
+      expect((await run()).result.reply).toMatchObject({ answer: { status: 500 } });
+    },
+  );
 
   it('tries a second replica when the first is unresponsive, and abandons the first', async () => {
     replicas.getBehaviour('r1').isSilent = true;
--- a/packages/gateway/__tests__/streams.test.ts
+++ b/packages/gateway/__tests__/streams.test.ts
@@ -104,6 +104,47 @@
     });
   });
 
+  // Guards against a status of a replica that promises "not run" for a stream that it may have run.
+  describe.each([408, 421, 429, 503, 200])(
+    'answered with %d by a replica that may have run it',
+    (status) => {
+      beforeEach(() => {
+        ['r1', 'r2', 'r3'].forEach((id) => {
+          replicas.getBehaviour(id).streamFailureStatus = status;
+        });
+        replicas.getBehaviour('r1').failedStreams = 1;
+      });
+
+      it('may have run, and is not sent again when the route is not resumable', async () => {
+        const { result, received } = await run(false);
+        expect(result.reply).toMatchObject({
+          failure: { code: 'target-failed', verdict: 'may-have-run' },
+        });
+        expect(received).toEqual([]);
+        expect(replicas.runs).toHaveLength(1);
+      });
+
+      it('goes on elsewhere when the route is resumable, also after its head was sent', async () => {
+        expect(await run(true)).toMatchObject({ received: completeStream });
+        replicas.getBehaviour('r1').breakAfterEvents = 4;
+        replicas.getBehaviour('r2').failedStreams = 1;
+        const { result, received } = await run(true);
+        expect(result).toMatchObject({ reply: { isWhole: true }, attempts: 3 });
+        expect(received).toEqual(completeStream);
+      });
+
+      it('may have run when all replicas answer so', async () => {
+        replicas.getBehaviour('r2').failedStreams = 1;
+        replicas.getBehaviour('r3').failedStreams = 1;
+        const { result, received } = await run(true);
+        expect(result.reply).toMatchObject({
+          failure: { code: 'target-failed', verdict: 'may-have-run' },
+        });
+        expect(received).toEqual([]);
+      });
+    },
+  );
+
   it('fails as not run when all replicas refused it', async () => {
     ['r1', 'r2', 'r3'].forEach((id) => {
       replicas.getBehaviour(id).refusals = 1;
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -23,8 +23,10 @@
   isSilent: boolean;
   /** Whether it resets the connection of each request after `answerMs`. */
   resetsRequests: boolean;
-  /** How many of the next streams are answered with an internal error. */
+  /** How many of the next streams are answered with an error. */
   failedStreams: number;
+  /** The status of such an answer; 200: a stream without a signature. */
+  streamFailureStatus: number;
   /** Time until such an answer. */
   streamFailureMs: number;
   /** Status of plain answers. */
@@ -114,6 +116,7 @@
         isSilent: false,
         resetsRequests: false,
         failedStreams: 0,
+        streamFailureStatus: 500,
         streamFailureMs: 100,
         status: 200,
         answerMs: 10,
@@ -266,7 +269,11 @@
       const isAborted = await pauseUnlessAborted(behaviour.streamFailureMs, options.signal);
       if (isAborted) return { status: CallStatus.Cancelled, reason: 'aborted' };
       options.onSignals?.(createSignals(behaviour));
-      const answer = { status: 500, headers: [], body: Buffer.alloc(0), signature: 'stamp' };
+      const status = behaviour.streamFailureStatus;
+      const signature = status === 200 ? undefined : 'stamp';
+      const head = { status, headers: [], signature, weightVersion: undefined, load: undefined };
+      receiver.begin(head);
+      const answer = { status, headers: [], body: Buffer.alloc(0), signature };
       return { status: CallStatus.Answered, answer, load: undefined };
     }
     const weightVersion = this.versions.get(replica.id) ?? 1;
--- a/packages/gateway/src/jobs/scoring.ts
+++ b/packages/gateway/src/jobs/scoring.ts
@@ -3,6 +3,7 @@
  */
 import type * as environments from '../types/environment';
 import type * as organisations from '../types/organisation';
+import * as answerPolicies from '../requests/answer-policy';
 import type * as forwarders from '../requests/forwarder';
 import type * as progress from './item-progress';
 import type * as ownedJobs from './owned-job';
@@ -26,8 +27,6 @@
 const SCORING_TIMEOUT_MS = 1500;
 /** Backoff after a call that got no score. */
 const RETRY_BACKOFF_MS = 60;
-const FIRST_SUCCESS_STATUS = 200;
-const FIRST_REDIRECT_STATUS = 300;
 
 /**
  * Repeats the scoring call until it returns a score, as many answers were failures as the routes of
@@ -71,9 +70,7 @@
     });
     if (end.attempts > 0) resumeNext();
     const answer = end.reply.kind === 'answer' ? end.reply.answer : undefined;
-    const isOk =
-      answer && answer.status >= FIRST_SUCCESS_STATUS && answer.status < FIRST_REDIRECT_STATUS;
-    if (isOk && answer.signature !== undefined) {
+    if (answer && answerPolicies.isSignedSuccess(answer)) {
       itemProgress.score = answer.signature;
       return createEnd('scored');
     }
--- a/packages/gateway/src/requests/plain-call.ts
+++ b/packages/gateway/src/requests/plain-call.ts
@@ -13,6 +13,7 @@
 import type * as exchanges from '../types/exchange';
 import * as replicas from '../types/replica';
 import type * as directories from '../replicas/directory';
+import * as answerPolicies from './answer-policy';
 import type * as callContexts from './call-context';
 import type * as extraAttempts from './extra-attempt';
 import * as plannedStops from './planned-stop';
@@ -47,8 +48,6 @@
 
 const MINIMUM_SERVER_ERROR_STATUS = 500;
 const INTERNAL_SERVER_ERROR_STATUS = 500;
-/** Statuses that tell the caller that the request did not run. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Runs one plain request. */
 export class PlainCall {
@@ -56,6 +55,7 @@
 
   private readonly runningCalls = new Map<string, AbortController>();
 
+  /** The last answer that reports an error and may be passed on. */
   private lastAnswer: replicas.ReplicaAnswer | undefined;
 
   private failedAnswers = 0;
@@ -180,13 +180,14 @@
       return;
     }
     const { answer } = outcome;
-    if (answer.status < MINIMUM_SERVER_ERROR_STATUS) {
+    const mayPassOn = answerPolicies.mayPassOn(answer);
+    if (mayPassOn && answer.status < MINIMUM_SERVER_ERROR_STATUS) {
       this.complete({ kind: 'answer', answer }, isExtra);
       return;
     }
     if (answer.status === INTERNAL_SERVER_ERROR_STATUS) this.failedAnswers += 1;
     this.mayHaveRun = true;
-    this.lastAnswer = answer;
+    if (mayPassOn) this.lastAnswer = answer;
     if (this.options.isIdempotent) this.retry();
     else this.giveUp();
   }
@@ -203,8 +204,7 @@
 
   private giveUp(): void {
     const answer = this.lastAnswer;
-    // The request ran: an answer with a refusal status would tell the caller that it did not.
-    if (answer && !REFUSAL_STATUSES.has(answer.status)) this.complete({ kind: 'answer', answer });
+    if (answer) this.complete({ kind: 'answer', answer });
     else if (this.mayHaveRun) this.fail('target-failed');
     else this.complete({ kind: 'failure', failure: this.context.createRefusal() });
   }
--- a/packages/gateway/src/requests/stream-call.ts
+++ b/packages/gateway/src/requests/stream-call.ts
@@ -11,6 +11,7 @@
 import type * as directories from '../replicas/directory';
 import * as replicaTrials from '../replicas/replica-trials';
 import * as softwares from '../replicas/software';
+import * as answerPolicies from './answer-policy';
 import type * as callContexts from './call-context';
 import * as plannedStops from './planned-stop';
 
@@ -106,7 +107,10 @@
       const tracked = this.mayContinue() ? await this.chooseReplica() : undefined;
       if (!tracked || !this.mayContinue()) break;
       const outcome = await this.send(tracked);
-      if (outcome.status === replicas.CallStatus.Answered) return this.handleAnswer(outcome.answer);
+      const isAnswered = outcome.status === replicas.CallStatus.Answered;
+      if (isAnswered && answerPolicies.mayPassOn(outcome.answer)) {
+        return this.handleAnswer(outcome.answer);
+      }
       const isNotRun = replicas.isNotRun(outcome.status);
       mayHaveRun ||= !isNotRun;
       if (!isNotRun && !this.options.isResumable) break;
@@ -116,7 +120,7 @@
   }
 
   begin(head: replicas.StreamHead): void {
-    this.isForwarding = head.status === OK_STATUS;
+    this.isForwarding = head.status === OK_STATUS && answerPolicies.mayPassOn(head);
     if (!this.isForwarding || this.hasSentHead) return;
     this.hasSentHead = true;
     this.reply.begin(head);
