--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -323,7 +323,7 @@
           limits.task,
           this.takeover,
           quarantine.evidenceTask,
-          quarantine.trials,
+          quarantine.trialTask,
         ]),
         [
           limitRows.RATE_LIMIT_PARTITION,
@@ -334,7 +334,7 @@
       this.members,
       this.takeover,
       quarantine.evidenceTask,
-      quarantine.trials,
+      quarantine.trialTask,
       limits.task,
       this.softwareHistory,
       origins,
--- a/packages/gateway/src/quarantine/shared-quarantine.ts
+++ b/packages/gateway/src/quarantine/shared-quarantine.ts
@@ -9,6 +9,7 @@
 import * as rowReporters from '../store/row-reporter';
 import type * as stores from '../types/store';
 import * as evidenceTasks from './evidence-task';
+import * as fleetTrials from './fleet-trials';
 import * as requestQuarantines from './request-quarantine';
 import * as requestTrials from './request-trials';
 
@@ -30,7 +31,7 @@
 export interface SharedQuarantine {
   readonly requests: requestQuarantines.RequestQuarantine;
   readonly evidenceTask: evidenceTasks.EvidenceTask;
-  readonly trials: requestTrials.RequestTrials;
+  readonly trialTask: fleetTrials.FleetTrials;
 }
 
 export function createSharedQuarantine(options: SharedQuarantineOptions): SharedQuarantine {
@@ -43,7 +44,8 @@
     metric: 'quarantine_reports',
     holdBackMs: EVIDENCE_HOLD_BACK_MS,
   });
-  const trials = requestTrials.RequestTrials.create({ ...options, quarantine });
+  const trialTask = fleetTrials.FleetTrials.create({ ...options, quarantine });
+  const trials = requestTrials.RequestTrials.create({ ...options, quarantine, fleet: trialTask });
   const requests = requestQuarantines.RequestQuarantine.create({
     ...options,
     quarantine,
@@ -52,5 +54,5 @@
     storeNowMs: () => store.nowMs,
   });
   const evidenceTask = evidenceTasks.EvidenceTask.create({ ...options, quarantine, reporter });
-  return { requests, evidenceTask, trials };
+  return { requests, evidenceTask, trialTask };
 }
--- a/packages/gateway/src/requests/job-call.ts
+++ b/packages/gateway/src/requests/job-call.ts
@@ -9,6 +9,7 @@
  * host that has or had batch jobs is asked for the job all the same. What stays unclear as the store
  * gives no answer is decided by the attempt, so that an application is served without the store.
  */
+import * as boundedMaps from '../jobs/bounded-map';
 import * as configurations from '../types/configuration';
 
 /** What a call on a path of batch jobs is about. */
@@ -35,22 +36,25 @@
   return hasAttemptId && !hasJobs ? CallSubject.Request : CallSubject.Unclear;
 }
 
+/** Hosts that are remembered; the oldest are forgotten first. */
+const MAXIMUM_HOSTS = 4096;
+
 /** The hosts that have or had batch jobs. A job outlives its route. */
 export class JobHosts {
-  private readonly hosts = new Set<string>();
+  private readonly hosts = boundedMaps.BoundedMap.create<true>(MAXIMUM_HOSTS);
 
   static create(): JobHosts {
     return new JobHosts();
   }
 
   has(host: string): boolean {
-    return this.hosts.has(host.toLowerCase());
+    return this.hosts.get(host.toLowerCase()) === true;
   }
 
   /** Adds the hosts of the rollout routes of a configuration. */
   add(routes: readonly Pick<configurations.Route, 'kind' | 'host'>[]): void {
     routes
       .filter(({ kind }) => kind === configurations.RouteKind.Rollout)
-      .forEach(({ host }) => this.hosts.add(host.toLowerCase()));
+      .forEach(({ host }) => this.hosts.set(host.toLowerCase(), true));
   }
 }
