Untrusted clients: tests at every listener of the gateway and of the daemon

Both programs face clients that are not under our control, and only the gateway's listener for clients had tests of them. The new tests start the real processes and send crowds to each listener: of an entry and of a target (requests and control), of a gateway for clients, peers and readiness. They check that the process lives, its memory (256 MB) and descriptors (400), and that one ordinary request is served beside the crowd; a single request within the limits is served. No times, no shares.

--- a/platform/__tests__/support/untrusted-client.ts
+++ b/packages/standins/src/clients/untrusted-client.ts
@@ -15,6 +15,27 @@
   readonly pauseMs?: number;
   /** How often the client connects again when it is closed. */
   readonly reconnects?: number;
+  /** Whether the client never reads what it is sent. */
+  readonly isNotReading?: boolean;
+}
+
+/** The head of a request with a body. */
+export function createHead(path: string, headers: readonly string[]): string {
+  return [`POST ${path} HTTP/1.1`, ...headers, '', ''].join('\r\n');
+}
+
+/** Encodes a chunk of a chunked body. */
+export function createChunk(bytes: number): Buffer {
+  return Buffer.from(`${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`);
+}
+
+/** Starts clients, and waits until each has sent all that it ever will, or the time is over. */
+export async function startCrowd(
+  clients: readonly UntrustedClient[],
+  timeoutMs: number,
+): Promise<void> {
+  const isSent = Promise.all(clients.map((client) => client.run()));
+  await Promise.race([isSent, runtime.pause(timeoutMs)]);
 }
 
 /** One client of the crowd. */
@@ -56,7 +77,7 @@
     const socket = net.connect(this.port, this.ip);
     this.socket = socket;
     socket.on('error', () => {});
-    socket.on('data', () => {});
+    if (!this.sending.isNotReading) socket.on('data', () => {});
     socket.on('close', () => {
       if (reconnects > 0) this.connect(reconnects - 1);
       else this.settle();
--- a/packages/standins/src/experiments/child-process.ts
+++ b/packages/standins/src/experiments/child-process.ts
@@ -72,6 +72,10 @@
     return `http://127.0.0.1:${this.ports.port ?? this.ports.httpPort}`;
   }
 
+  get processId(): number {
+    return this.child.pid ?? 0;
+  }
+
   get hasEnded(): boolean {
     return this.exitCode !== undefined;
   }
--- a/packages/standins/src/experiments/fleet.ts
+++ b/packages/standins/src/experiments/fleet.ts
@@ -30,6 +30,8 @@
   readonly platformTimeoutMs: number;
   /** Additional Node.js flags of every daemon. */
   readonly runtimeFlags?: readonly string[];
+  /** Further lines of the `[daemon]` section of every daemon's settings. */
+  readonly daemonSettings?: readonly string[];
 }
 
 /** A target and its daemon. */
@@ -293,6 +295,7 @@
       `control_port = ${daemonPorts.controlPort ?? 0}`,
       `failure_domain = ${failureDomain}`,
       `region = ${this.plan.region}`,
+      ...(this.plan.daemonSettings ?? []),
       '[platform]',
       `url = ${this.platform.url}`,
       `timeout_ms = ${this.plan.platformTimeoutMs}`,
