--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -4,7 +4,7 @@
 import * as esbuild from 'esbuild';
 
 const root = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)));
-const bundledPackages = ['decisions', 'runtime', 'gateway'];
+const bundledPackages = ['decisions', 'runtime', 'intake', 'gateway'];
 
 await esbuild.build({
   entryPoints: [path.join(root, 'platform/src/bin/azureworks-platform.ts')],
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -2,6 +2,7 @@
  * Several gateways in the test process that share an in-memory store and simulated replicas.
  */
 import * as gateway from '@azureworks/gateway';
+import type * as intake from '@azureworks/intake';
 import * as standins from '@azureworks/standins';
 import * as fakeReplicas from './fake-replicas';
 import * as time from './virtual-time';
@@ -268,7 +269,7 @@
   }
 
   /** The memory budget of the gateway that was last started on a VM. */
-  getMemory(vm: string): gateway.Memory {
+  getMemory(vm: string): intake.Memory {
     return this.getEnvironment(vm).memory;
   }
 
--- a/packages/gateway/__tests__/support/virtual-time.ts
+++ b/packages/gateway/__tests__/support/virtual-time.ts
@@ -4,7 +4,7 @@
 import * as decisions from '@azureworks/decisions';
 import * as runtime from '@azureworks/runtime';
 import type * as gateway from '@azureworks/gateway';
-import * as memoryBudgets from '../../src/core/memory-budget';
+import * as intake from '@azureworks/intake';
 
 /** What open work of a gateway may hold. */
 export const MEMORY_BYTES = 96 * 1024 * 1024;
@@ -59,7 +59,7 @@
     failureDomain: 'domain-a',
     capacity: 1,
     peerAddress: `${vm}:1`,
-    memory: memoryBudgets.MemoryBudget.create(MEMORY_BYTES),
+    memory: intake.MemoryBudget.create(MEMORY_BYTES),
     log: runtime.SilentLog.create(),
     metrics: runtime.Metrics.create(),
     nowMs,
--- a/packages/gateway/src/core/gateway.ts
+++ b/packages/gateway/src/core/gateway.ts
@@ -2,6 +2,7 @@
  * The gateway as a whole: wires its tasks together and handles callers' requests.
  */
 import * as decisions from '@azureworks/decisions';
+import * as intake from '@azureworks/intake';
 import * as runtime from '@azureworks/runtime';
 import * as activeConfigurations from '../configuration/active-configuration';
 import * as jobRecords from '../jobs/job-record';
@@ -80,8 +81,6 @@
  */
 const DECODING_COPIES = 4;
 const MAXIMUM_DECODING_BYTES = 24 * 1024 * 1024;
-/** When a request may come again that did not fit the memory: other gateways may have room at once. */
-export const MEMORY_RETRY_AFTER_MS = 200;
 
 /** How long a request on an application's route waits to learn whether its host has a job of that id. */
 const JOB_CHECK_MS = 250;
@@ -512,7 +511,7 @@
       detail,
       configuration: this.configuration.current?.version,
     });
-    const retryAfterMs = code === 'memory-exhausted' ? MEMORY_RETRY_AFTER_MS : undefined;
+    const retryAfterMs = code === 'memory-exhausted' ? intake.MEMORY_RETRY_AFTER_MS : undefined;
     const failure = decisions.createFailure(code, {
       detail,
       ...(retryAfterMs !== undefined && { retryAfterMs }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,27 +1,7 @@
 /**
  * Public entry of the gateway package.
  */
-export {
-  Gateway,
-  type GatewayOptions,
-  type GatewayReply,
-  MEMORY_RETRY_AFTER_MS,
-} from './core/gateway';
-export {
-  BodyIntake,
-  BodyRefusal,
-  type IncomingBody,
-  SMALL_BODY_BYTES,
-  SWEEP_INTERVAL_MS,
-} from './core/body-intake';
-export {
-  type ClientConnection,
-  ClientConnections,
-  ClosedConnection,
-  computeConnectionLimit,
-} from './core/client-connections';
-export { MemoryBudget } from './core/memory-budget';
-export type { Memory, Reservation } from './types/memory';
+export { Gateway, type GatewayOptions, type GatewayReply } from './core/gateway';
 export { listMembers, type Member } from './store/json-scanner';
 export type { Environment } from './types/environment';
 export {
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -1,7 +1,7 @@
 /**
  * The progress of an item of a batch job, over all runs on all replicas and gateways.
  */
-import type * as memories from '../types/memory';
+import type * as intake from '@azureworks/intake';
 import * as jobs from '../types/batch-job';
 import type * as records from './job-record';
 
@@ -101,11 +101,11 @@
   private constructor(
     readonly item: jobs.Item,
     readonly index: number,
-    private readonly reservation: memories.Reservation,
+    private readonly reservation: intake.Reservation,
   ) {}
 
   /** @param reservation for the memory of its text */
-  static create(item: jobs.Item, index: number, reservation: memories.Reservation): ItemProgress {
+  static create(item: jobs.Item, index: number, reservation: intake.Reservation): ItemProgress {
     return new ItemProgress(item, index, reservation);
   }
 
--- a/packages/gateway/src/jobs/item-window.ts
+++ b/packages/gateway/src/jobs/item-window.ts
@@ -3,7 +3,7 @@
  * only the next items are held, in the order of the job, and further ones are read from the store as
  * these are listed.
  */
-import type * as memories from '../types/memory';
+import type * as intake from '@azureworks/intake';
 import type * as jobs from '../types/batch-job';
 import type * as itemSources from './item-source';
 import * as progress from './item-progress';
@@ -19,7 +19,7 @@
 const DECODING_COPIES = 4;
 
 export interface ItemWindowOptions {
-  readonly reservation: memories.Reservation;
+  readonly reservation: intake.Reservation;
   /** The items that are not held yet; undefined when all of them are. */
   readonly source: itemSources.ItemSource | undefined;
   /** The items that have a result. */
--- a/packages/gateway/src/jobs/job-loader.ts
+++ b/packages/gateway/src/jobs/job-loader.ts
@@ -3,8 +3,8 @@
  * incomplete texts. The memory is taken before anything is read; a job that does not fit is left in the
  * store and loaded later.
  */
+import type * as intake from '@azureworks/intake';
 import type * as environments from '../types/environment';
-import type * as memories from '../types/memory';
 import type * as jobs from '../types/batch-job';
 import * as itemWindows from './item-window';
 import * as progress from './item-progress';
@@ -91,7 +91,7 @@
 /** Reads the first items; the others may follow later. */
 async function fill(
   window: itemWindows.ItemWindow,
-  reservation: memories.Reservation,
+  reservation: intake.Reservation,
 ): Promise<boolean> {
   // The window takes it again for each of its reads.
   reservation.shrink(itemWindows.READ_BYTES);
--- a/packages/gateway/src/jobs/listed-results.ts
+++ b/packages/gateway/src/jobs/listed-results.ts
@@ -2,7 +2,7 @@
  * The list of results of a job that runs here. Readers mostly ask for the newest ones, so only these are
  * held in memory; earlier ones are read from the store.
  */
-import type * as memories from '../types/memory';
+import type * as intake from '@azureworks/intake';
 import type * as jobs from '../types/batch-job';
 
 /** Results that are held for readers of one job, in bytes. */
@@ -18,9 +18,9 @@
 
   private listedCount = 0;
 
-  private constructor(private readonly reservation: memories.Reservation) {}
+  private constructor(private readonly reservation: intake.Reservation) {}
 
-  static create(reservation: memories.Reservation): ListedResults {
+  static create(reservation: intake.Reservation): ListedResults {
     return new ListedResults(reservation);
   }
 
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -3,13 +3,13 @@
  * again in a later job, which continues the texts if their versions of the weights are acceptable.
  * The texts are held in memory only: without one, an item is generated from its beginning.
  */
-import type * as memories from '../types/memory';
+import type * as intake from '@azureworks/intake';
 import * as progress from './item-progress';
 import type * as records from './job-record';
 import * as boundedMaps from './bounded-map';
 
 interface SavedText {
-  readonly reservation: memories.Reservation;
+  readonly reservation: intake.Reservation;
   readonly text: records.PartialText;
   readonly isComplete: boolean;
   readonly score: string | undefined;
@@ -27,9 +27,9 @@
     ({ reservation }) => reservation.release(),
   );
 
-  private constructor(private readonly memory: memories.Memory) {}
+  private constructor(private readonly memory: intake.Memory) {}
 
-  static create(memory: memories.Memory): PartialTexts {
+  static create(memory: intake.Memory): PartialTexts {
     return new PartialTexts(memory);
   }
 
--- a/packages/gateway/src/types/environment.ts
+++ b/packages/gateway/src/types/environment.ts
@@ -1,8 +1,8 @@
 /**
  * What all tasks of a gateway share: its identity, clocks, randomness, log and metrics.
  */
+import type * as intake from '@azureworks/intake';
 import type * as runtime from '@azureworks/runtime';
-import type * as memories from './memory';
 
 /** Identity and services of the process that runs the gateway. */
 export interface Environment {
@@ -16,7 +16,7 @@
   /** Address at which peers reach this process. */
   readonly peerAddress: string;
   /** The memory that open work may hold. */
-  readonly memory: memories.Memory;
+  readonly memory: intake.Memory;
   readonly log: runtime.Log;
   readonly metrics: runtime.Metrics;
   /** Monotonic clock, in milliseconds. */
--- a/platform/src/body-buffer.ts
+++ b/packages/intake/src/http/body-buffer.ts
@@ -3,10 +3,10 @@
  * size, and its pages are returned to the system as soon as it is abandoned. Buffers that grow by copying,
  * or are only dropped, stay in memory until a later garbage collection.
  */
-import * as gateway from '@azureworks/gateway';
+import * as bodyIntakes from '../core/body-intake';
 
 /** Smaller bodies are kept in ordinary buffers, which are cheaper to create, in bytes. */
-const SMALL_CAPACITY_BYTES = gateway.SMALL_BODY_BYTES;
+const SMALL_CAPACITY_BYTES = bodyIntakes.SMALL_BODY_BYTES;
 
 interface GrowingBuffer extends ArrayBuffer {
   resize(bytes: number): void;
--- a/platform/src/request-body.ts
+++ b/packages/intake/src/http/request-body.ts
@@ -4,19 +4,20 @@
  * rest of such a body is not read here.
  */
 import type * as http from 'node:http';
-import type * as gateway from '@azureworks/gateway';
+import type * as bodyIntakes from '../core/body-intake';
+import type * as memories from '../types/memory';
 import * as bodyBuffers from './body-buffer';
 
 /** What came of a body. */
 export type BodyEnd =
   | { readonly kind: 'whole'; readonly body: Buffer }
-  | { readonly kind: 'too-large' | 'cut-off' | gateway.BodyRefusal };
+  | { readonly kind: 'too-large' | 'cut-off' | bodyIntakes.BodyRefusal };
 
 export interface BodyOptions {
   readonly maximumBytes: number;
   /** For the memory of the body. */
-  readonly reservation: gateway.Reservation;
-  readonly intake: gateway.BodyIntake;
+  readonly reservation: memories.Reservation;
+  readonly intake: bodyIntakes.BodyIntake;
 }
 
 const INITIAL_CAPACITY_BYTES = 4096;
@@ -39,7 +40,7 @@
 class BodyReader {
   private readonly buffer: bodyBuffers.BodyBuffer;
 
-  private readonly entry: gateway.IncomingBody;
+  private readonly entry: bodyIntakes.IncomingBody;
 
   private turnTimer: NodeJS.Timeout | undefined;
 
