Daemons take in requests within bounds of memory, connections and time

An entry or a target ended for want of heap when clients sent bodies in pieces of one byte or pipelined requests, and held up to 2.8 GB of bodies that stop short of their end or go on without one, for as long as their clients stayed. Nothing bounded its connections.

Cause: each piece of a body was kept as a buffer of its own; there was no limit of the sum of bodies, of connections, or of the time that a body may take; what was over a limit was read to an end that never came. Organisation, token, trainer and deadline were checked after the body was read.

Change: the daemon's HTTP server reads bodies through the intake. Work holds work_memory_mb (96) at most, parsed JSON counted for its copies, answers that are not read yet as well; connections follow from maximum_descriptors (4,096, and not more than the system allows). What the head tells against a request refuses it before its body is read, and lets the client see that.

--- a/packages/configuration/src/core/settings.ts
+++ b/packages/configuration/src/core/settings.ts
@@ -29,6 +29,10 @@
   failure_domain: fields.name(),
   region: fields.name().default('default'),
   drain_timeout_ms: fields.integer(0, MAXIMUM_DURATION_MS).default(30_000),
+  /** Memory that open work may hold. */
+  work_memory_mb: fields.integer(16, 65_536).default(96),
+  /** Descriptors that the process may open; the system's own limit applies as well. */
+  maximum_descriptors: fields.integer(256, 1_048_576).default(4096),
 };
 
 const platformShape = {
--- a/packages/daemon/__tests__/planned-stop.test.ts
+++ b/packages/daemon/__tests__/planned-stop.test.ts
@@ -1,6 +1,8 @@
 import * as net from 'node:net';
+import * as intake from '@azureworks/intake';
 import * as runtime from '@azureworks/runtime';
 import * as body from '../src/core/body';
+import * as failureResponses from '../src/core/failure-response';
 import * as httpTask from '../src/core/http-task';
 
 const DRAIN_TIMEOUT_MS = 3000;
@@ -47,12 +49,22 @@
 
   beforeEach(async () => {
     pendingResponses = [];
-    task = httpTask.HttpTask.create('127.0.0.1', 0, DRAIN_TIMEOUT_MS);
+    task = httpTask.HttpTask.create({
+      address: '127.0.0.1',
+      port: 0,
+      drainTimeoutMs: DRAIN_TIMEOUT_MS,
+      bodies: body.Bodies.create({
+        memory: intake.MemoryBudget.create(1024 * 1024),
+        maximumDescriptors: 1024,
+        log: runtime.SilentLog.create(),
+        metrics: runtime.Metrics.create(),
+      }),
+    });
     task.add('get', '/slow', (_request, response) => {
-      pendingResponses.push(() => httpTask.sendJson(response, 200, {}));
+      pendingResponses.push(() => failureResponses.sendJson(response, 200, {}));
     });
-    task.add('post', '/body', async (request) => {
-      await body.readBody(request, 100);
+    task.add('post', '/body', async (request, response) => {
+      await task.bodies.read(request, response, 100);
     });
     task.add('get', '/stream', (_request, response) => {
       response.writeHead(200);
--- a/packages/daemon/src/core/http-task.ts
+++ b/packages/daemon/src/core/http-task.ts
@@ -15,7 +15,8 @@
 import type * as links from '@azureworks/links';
 import polka from 'polka';
 import * as runtime from '@azureworks/runtime';
-import * as headers from '../types/headers';
+import * as bodies from './body';
+import * as failureResponses from './failure-response';
 
 /** A request whose path matched a route, with the parameters of the path. */
 export interface RoutedRequest extends http.IncomingMessage {
@@ -34,9 +35,12 @@
 
 const DRAIN_POLL_INTERVAL_MS = 20;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const MILLISECONDS_PER_SECOND = 1000;
 const INTERNAL_ERROR = 500;
 const KEY_REFRESH_INTERVAL_MS = 5000;
+/** How long the head of a request and a TLS handshake may take, in milliseconds. */
+const HEADER_TIMEOUT_MS = 10_000;
+const HANDSHAKE_TIMEOUT_MS = 10_000;
+const CONNECTION_CHECK_INTERVAL_MS = 2000;
 /** How long a planned stop keeps idle connections open: well over the pause of a busy caller. */
 const IDLE_CONNECTION_GRACE_MS = 1500;
 /** How long the last answers may take to reach their callers, in milliseconds. */
@@ -45,12 +49,24 @@
 /** Reads the keys of a TLS server. */
 export type ReadKeys = () => links.TlsKeys;
 
+/** Where a server listens, and what bounds its requests. */
+export interface HttpTaskOptions {
+  readonly address: string;
+  /** 0 binds any free port. */
+  readonly port: number;
+  readonly drainTimeoutMs: number;
+  /** Reads the TLS keys; without it the server speaks plain HTTP. */
+  readonly readKeys?: ReadKeys | undefined;
+  readonly bodies: bodies.Bodies;
+}
+
 /** An HTTP server with routes. */
 export class HttpTask implements runtime.Task {
   readonly name = 'http';
 
   private readonly router = polka({
-    onNoMatch: (_request, response) => sendFailure(response, decisions.createFailure('not-found')),
+    onNoMatch: (request, response) =>
+      this.bodies.refuse(request, response, decisions.createFailure('not-found')),
     onError: (_error, _request, response) => {
       if (!response.headersSent) response.writeHead(INTERNAL_ERROR);
       response.end();
@@ -70,24 +86,15 @@
 
   private boundPort = 0;
 
-  private constructor(
-    private readonly address: string,
-    private readonly port: number,
-    private readonly drainTimeoutMs: number,
-    private readonly readKeys: ReadKeys | undefined,
-  ) {}
-
-  /**
-   * @param port 0 binds any free port
-   * @param readKeys reads the TLS keys; without it the server speaks plain HTTP
-   */
-  static create(
-    address: string,
-    port: number,
-    drainTimeoutMs: number,
-    readKeys?: ReadKeys,
-  ): HttpTask {
-    return new HttpTask(address, port, drainTimeoutMs, readKeys);
+  private constructor(private readonly options: HttpTaskOptions) {}
+
+  static create(options: HttpTaskOptions): HttpTask {
+    return new HttpTask(options);
+  }
+
+  /** The bodies of the requests. */
+  get bodies(): bodies.Bodies {
+    return this.options.bodies;
   }
 
   /** The port that the server is bound to; 0 before the first start. */
@@ -106,9 +113,11 @@
   start(): Promise<void> {
     const server = this.createServer();
     this.server = server;
+    this.bodies.attach(server);
+    const { port, address } = this.options;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
-      server.listen(this.boundPort || this.port, this.address, () => {
+      server.listen(this.boundPort || port, address, () => {
         this.boundPort = (server.address() as net.AddressInfo).port;
         resolve();
       });
@@ -116,20 +125,32 @@
   }
 
   private createServer(): http.Server | https.Server {
-    const options = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: 0 };
+    const options = {
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      requestTimeout: 0,
+      headersTimeout: HEADER_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    };
     const listener = (request: http.IncomingMessage, response: http.ServerResponse): void => {
       this.responsesInFlight.add(response);
       response.on('close', () => {
         this.responsesInFlight.delete(response);
         if (response.shouldKeepAlive) this.idleSinceMs = performance.now();
       });
+      response.on('finish', () => this.bodies.endAnswered(request, response));
       if (this.isClosing) response.shouldKeepAlive = false;
       this.router.handler(request as polka.Request, response);
     };
-    if (!this.readKeys) return http.createServer(options, listener);
-    const { readKeys } = this;
+    const { readKeys } = this.options;
+    if (!readKeys) return http.createServer(options, listener);
     const server = https.createServer(
-      { ...options, ...toTlsOptions(readKeys()), requestCert: true, rejectUnauthorized: false },
+      {
+        ...options,
+        ...toTlsOptions(readKeys()),
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+        requestCert: true,
+        rejectUnauthorized: false,
+      },
       listener,
     );
     this.keyTimer = setInterval(() => {
@@ -151,7 +172,7 @@
     net.Server.prototype.close.call(server);
     this.idleSinceMs = performance.now();
     await pollUntil(
-      this.idleSinceMs + this.drainTimeoutMs,
+      this.idleSinceMs + this.options.drainTimeoutMs,
       async () => this.isQuiet() || (await countConnections(server)) === 0,
     );
     this.failRemaining();
@@ -160,6 +181,7 @@
       async () => this.responsesInFlight.size === 0,
     );
     server.closeAllConnections();
+    this.bodies.detach();
     this.server = undefined;
     this.isClosing = false;
   }
@@ -173,7 +195,7 @@
   private failRemaining(): void {
     this.responsesInFlight.forEach((response) => {
       const code = response.req.complete ? 'outcome-unknown' : 'draining';
-      sendFailure(response, decisions.createFailure(code));
+      failureResponses.sendFailure(response, decisions.createFailure(code));
     });
   }
 }
@@ -200,41 +222,3 @@
 function toTlsOptions(keys: links.TlsKeys): tls.SecureContextOptions {
   return { key: keys.key, cert: keys.certificate, ca: keys.authority };
 }
-
-/** Sends a JSON response. */
-export function sendJson(
-  response: http.ServerResponse,
-  status: number,
-  body: unknown,
-  extraHeaders: http.OutgoingHttpHeaders = {},
-): void {
-  const text = JSON.stringify(body);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-    ...extraHeaders,
-  });
-  response.end(text);
-}
-
-/** Sends a failure with its code and verdict; closes the connection if a response has begun. */
-export function sendFailure(response: http.ServerResponse, failure: decisions.Failure): void {
-  if (response.headersSent) {
-    response.destroy();
-    return;
-  }
-  const { code, verdict, message, retryAfterMs } = failure;
-  const extraHeaders: http.OutgoingHttpHeaders = {
-    [headers.Header.Verdict]: verdict,
-    [headers.Header.ErrorCode]: code,
-  };
-  if (retryAfterMs !== undefined) {
-    extraHeaders['retry-after'] = String(Math.ceil(retryAfterMs / MILLISECONDS_PER_SECOND));
-  }
-  sendJson(
-    response,
-    decisions.getHttpStatus(failure),
-    { error: { code, verdict, message } },
-    extraHeaders,
-  );
-}
--- a/packages/daemon/src/core/observability.ts
+++ b/packages/daemon/src/core/observability.ts
@@ -3,6 +3,7 @@
  */
 import * as links from '@azureworks/links';
 import type * as runtime from '@azureworks/runtime';
+import * as failureResponses from './failure-response';
 import * as httpTask from './http-task';
 
 const OK = 200;
@@ -19,12 +20,12 @@
     response.end(sharedMetrics.format());
   });
   http.add('get', '/healthz', (_request, response) => {
-    httpTask.sendJson(response, OK, { status: 'alive' });
+    failureResponses.sendJson(response, OK, { status: 'alive' });
   });
   http.add('get', '/readyz', (_request, response) => {
     const ready = isReady();
     const status = ready ? OK : SERVICE_UNAVAILABLE;
-    httpTask.sendJson(response, status, { status: ready ? 'ready' : 'not ready' });
+    failureResponses.sendJson(response, status, { status: ready ? 'ready' : 'not ready' });
   });
   const processMetrics: [string, () => number][] = [
     ['resident_bytes', () => process.memoryUsage().rss],
--- a/packages/daemon/src/entry/caller-api.ts
+++ b/packages/daemon/src/entry/caller-api.ts
@@ -8,6 +8,7 @@
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 import * as body from '../core/body';
+import * as failureResponses from '../core/failure-response';
 import * as httpTask from '../core/http-task';
 import * as headers from '../types/headers';
 import type * as configurationTask from './configuration-task';
@@ -31,6 +32,19 @@
   readonly priority: number;
 }
 
+/** What the head of a request tells. */
+type RequestHead = Pick<
+  requests.Request,
+  | 'method'
+  | 'contentType'
+  | 'requestId'
+  | 'organisation'
+  | 'organisationShare'
+  | 'className'
+  | 'priority'
+  | 'deadlineMs'
+>;
+
 type CheckResult<T> = neverthrow.Result<T, decisions.Failure>;
 
 const completionSchema = zod.looseObject({
@@ -50,10 +64,10 @@
   private constructor(private readonly options: CallerApiOptions) {
     const { http: server } = options;
     server.add('post', '/v1/engines/:engine/completions', (request, response) =>
-      this.serve(request, response, (content) => this.checkCompletion(request, content)),
+      this.serveCompletion(request, response),
     );
     server.add('all', '/v1/services/:service/*', (request, response) =>
-      this.serve(request, response, (content) => this.checkServiceCall(request, content)),
+      this.serveServiceCall(request, response),
     );
   }
 
@@ -61,33 +75,62 @@
     return new CallerApi(options);
   }
 
-  private async serve(
+  private async serveCompletion(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
-    check: (content: Buffer) => CheckResult<requests.Request>,
   ): Promise<void> {
-    const bytes = await body.readBody(request, this.limits.maximum_body_bytes);
-    const checked = this.checkReady()
-      .andThen(() => bytes)
-      .andThen(check);
+    const { bodies } = this.options.http;
+    const head = this.checkHead(request, () => this.findEngine(request.params.engine));
+    const limitBytes = bodies.limitJson(this.limits.maximum_body_bytes);
+    const content = await this.readContent(head, request, response, limitBytes);
+    if (!content) return;
+    const checked = head
+      .andThen((common) => bodies.reserveParsed(response, content).map(() => common))
+      .andThen((common) => this.checkCompletion(request, common, content));
     await this.answer(checked, response);
   }
 
+  private async serveServiceCall(
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const head = this.checkHead(request, () => this.findService(request.params.service));
+    const limitBytes = this.limits.maximum_body_bytes;
+    const content = await this.readContent(head, request, response, limitBytes);
+    if (!content) return;
+    const checked = head.andThen((common) => this.checkServiceCall(request, common, content));
+    await this.answer(checked, response);
+  }
+
+  /** Reads the body of a request whose head is in order; undefined when the request was answered. */
+  private async readContent(
+    head: CheckResult<unknown>,
+    request: httpTask.RoutedRequest,
+    response: http.ServerResponse,
+    limitBytes: number,
+  ): Promise<Buffer | undefined> {
+    const { bodies } = this.options.http;
+    if (head.isOk()) return bodies.read(request, response, limitBytes);
+    bodies.refuse(request, response, head.error);
+    return undefined;
+  }
+
   private async answer(
     checked: CheckResult<requests.Request>,
     response: http.ServerResponse,
   ): Promise<void> {
     if (checked.isErr()) {
-      httpTask.sendFailure(response, checked.error);
+      failureResponses.sendFailure(response, checked.error);
       return;
     }
     const request = checked.value;
     const sink = request.isStreamed ? createSink(response) : undefined;
     const result = await this.options.dispatcher.serve(request, sink);
     if (result.isErr()) {
-      httpTask.sendFailure(response, result.error);
+      failureResponses.sendFailure(response, result.error);
       return;
     }
+    this.options.http.bodies.countResponse(response, result.value.body.length);
     sendAnswer(response, result.value);
   }
 
@@ -97,12 +140,12 @@
 
   private checkCompletion(
     request: httpTask.RoutedRequest,
+    common: RequestHead,
     content: Buffer,
   ): CheckResult<requests.Request> {
     const { engine: service } = request.params;
-    const engine = this.options.configuration.current.configuration.engines.get(service);
-    if (!engine) return refuseUnknown('unknown-service', service);
-    return this.checkCommon(request).andThen((common) =>
+    // The configuration may have changed while the body was read.
+    return this.findEngine(service).andThen((engine) =>
       body.parseJson(content, completionSchema).map((completion) => ({
         ...common,
         service,
@@ -120,13 +163,12 @@
 
   private checkServiceCall(
     request: httpTask.RoutedRequest,
+    common: RequestHead,
     content: Buffer,
   ): CheckResult<requests.Request> {
     const { service } = request.params;
-    const plainService = this.options.configuration.current.configuration.services.get(service);
-    if (!plainService) return refuseUnknown('unknown-service', service);
     const path = request.url.slice(`/v1/services/${service}`.length);
-    return this.checkCommon(request).map((common) => ({
+    return this.findService(service).map((plainService) => ({
       ...common,
       service,
       path,
@@ -138,19 +180,38 @@
     }));
   }
 
-  private checkCommon(request: httpTask.RoutedRequest) {
-    return this.checkCaller(request).andThen((caller) =>
-      this.checkDeadline(request).map((deadlineMs) => ({
-        method: request.method ?? 'GET',
-        contentType: request.headers['content-type'],
-        requestId: readHeader(request, headers.Header.RequestId),
-        organisation: caller.organisation,
-        organisationShare: caller.share,
-        className: caller.className,
-        priority: caller.priority,
-        deadlineMs,
-      })),
-    );
+  private findEngine(name: string): CheckResult<configuration.Engine> {
+    const engine = this.options.configuration.current.configuration.engines.get(name);
+    return engine ? neverthrow.ok(engine) : refuseUnknown('unknown-service', name);
+  }
+
+  private findService(name: string): CheckResult<configuration.PlainService> {
+    const service = this.options.configuration.current.configuration.services.get(name);
+    return service ? neverthrow.ok(service) : refuseUnknown('unknown-service', name);
+  }
+
+  /** Checks what the head of a request tells, before its body is read. */
+  private checkHead(
+    request: httpTask.RoutedRequest,
+    findTarget: () => CheckResult<unknown>,
+  ): CheckResult<RequestHead> {
+    return this.checkReady()
+      .andThen(findTarget)
+      .andThen(() => this.checkCaller(request))
+      .andThen((caller) => this.createHead(request, caller));
+  }
+
+  private createHead(request: httpTask.RoutedRequest, caller: Caller): CheckResult<RequestHead> {
+    return this.checkDeadline(request).map((deadlineMs) => ({
+      method: request.method ?? 'GET',
+      contentType: request.headers['content-type'],
+      requestId: readHeader(request, headers.Header.RequestId),
+      organisation: caller.organisation,
+      organisationShare: caller.share,
+      className: caller.className,
+      priority: caller.priority,
+      deadlineMs,
+    }));
   }
 
   private checkReady(): CheckResult<void> {
--- a/packages/daemon/src/entry/components.ts
+++ b/packages/daemon/src/entry/components.ts
@@ -8,6 +8,7 @@
 import * as storage from '@azureworks/storage';
 import * as runtime from '@azureworks/runtime';
 import * as httpTask from '../core/http-task';
+import * as resources from '../core/resources';
 import * as tls from '../core/tls';
 import * as groupExecutor from '../rollout/group-executor';
 import * as rolloutTask from '../rollout/rollout-task';
@@ -42,15 +43,21 @@
 /** Components that route requests to targets. */
 export type ServingComponents = ReturnType<typeof createServingComponents>;
 
-export function createSharedComponents({ settings }: EntryOptions) {
+export function createSharedComponents({ settings, log }: EntryOptions) {
   const { daemon } = settings;
+  const sharedMetrics = runtime.Metrics.create();
   const platform = storage.Storage.create(settings.platform.url, settings.platform.timeout_ms);
   return {
     clock: decisions.MonotonicClock.create(),
     random: decisions.SeededRandom.createWithRandomSeed(),
-    metrics: runtime.Metrics.create(),
+    metrics: sharedMetrics,
     platform,
-    http: httpTask.HttpTask.create(daemon.address, daemon.http_port, daemon.drain_timeout_ms),
+    http: httpTask.HttpTask.create({
+      address: daemon.address,
+      port: daemon.http_port,
+      drainTimeoutMs: daemon.drain_timeout_ms,
+      bodies: resources.createBodies(daemon, log, sharedMetrics),
+    }),
     store: stores.ConfigurationStore.create(platform.tables),
     gossipState: gossipStates.GossipState.create(),
   };
--- a/packages/daemon/src/entry/operator-api.ts
+++ b/packages/daemon/src/entry/operator-api.ts
@@ -6,7 +6,7 @@
 import * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
 import * as zod from 'zod';
-import * as body from '../core/body';
+import * as failureResponses from '../core/failure-response';
 import * as httpTask from '../core/http-task';
 import type * as changeWriters from './change-writer';
 import type * as configurationTask from './configuration-task';
@@ -61,8 +61,8 @@
   private add(method: httpTask.Method, path: string, handler: httpTask.Handler): void {
     this.options.http.add(method, path, (request, response) => {
       if (this.isAllowed(request)) return handler(request, response);
-      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
-      return undefined;
+      const failure = decisions.createFailure('unauthorized');
+      return this.options.http.bodies.refuse(request, response, failure);
     });
   }
 
@@ -78,15 +78,17 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const parsed = await body.readJson(request, MAXIMUM_CHANGE_BYTES, changeSchema);
+    const { bodies } = this.options.http;
+    const parsed = await bodies.readJson(request, response, MAXIMUM_CHANGE_BYTES, changeSchema);
+    if (!parsed) return;
     if (parsed.isErr()) {
-      httpTask.sendFailure(response, parsed.error);
+      failureResponses.sendFailure(response, parsed.error);
       return;
     }
     const { author, ...change } = parsed.value;
     const result = await this.options.configuration.accept(change, author);
     if (result.isOk()) {
-      httpTask.sendJson(response, STATUS_OK, result.value);
+      failureResponses.sendJson(response, STATUS_OK, result.value);
       return;
     }
     sendRejection(response, result.error);
@@ -94,13 +96,13 @@
 
   private showConfiguration(response: http.ServerResponse): void {
     const { revision, files } = this.options.configuration.current;
-    httpTask.sendJson(response, STATUS_OK, { revision, files });
+    failureResponses.sendJson(response, STATUS_OK, { revision, files });
   }
 
   private async showHistory(response: http.ServerResponse): Promise<void> {
     const result = await this.options.store.readHistory();
-    if (result.isOk()) httpTask.sendJson(response, STATUS_OK, { changes: result.value });
-    else httpTask.sendFailure(response, decisions.createFailure('store-unavailable'));
+    if (result.isOk()) failureResponses.sendJson(response, STATUS_OK, { changes: result.value });
+    else failureResponses.sendFailure(response, decisions.createFailure('store-unavailable'));
   }
 
   private async showChange(
@@ -109,11 +111,11 @@
   ): Promise<void> {
     const result = await this.options.store.findChange(request.params.id);
     if (result.isErr()) {
-      httpTask.sendFailure(response, decisions.createFailure('store-unavailable'));
+      failureResponses.sendFailure(response, decisions.createFailure('store-unavailable'));
       return;
     }
-    if (result.value) httpTask.sendJson(response, STATUS_OK, result.value);
-    else httpTask.sendFailure(response, decisions.createFailure('not-found'));
+    if (result.value) failureResponses.sendJson(response, STATUS_OK, result.value);
+    else failureResponses.sendFailure(response, decisions.createFailure('not-found'));
   }
 
   private showStatus(response: http.ServerResponse): void {
@@ -127,7 +129,7 @@
       revision: target.revision,
       weightVersions: target.weightVersions,
     }));
-    httpTask.sendJson(response, STATUS_OK, {
+    failureResponses.sendJson(response, STATUS_OK, {
       entry: membership.self?.name,
       revision: task.current.revision,
       confirmedAgoMs: task.getConfirmedAgeMs(),
@@ -145,7 +147,7 @@
 function sendRejection(response: http.ServerResponse, rejection: changeWriters.Rejection): void {
   const { failure, conflict, errors } = rejection;
   const { code, verdict, message } = failure;
-  httpTask.sendJson(response, decisions.getHttpStatus(failure), {
+  failureResponses.sendJson(response, decisions.getHttpStatus(failure), {
     error: {
       code,
       verdict,
--- a/packages/daemon/src/rollout/trainer-api.ts
+++ b/packages/daemon/src/rollout/trainer-api.ts
@@ -8,7 +8,7 @@
 import type * as http from 'node:http';
 import * as decisions from '@azureworks/decisions';
 import * as zod from 'zod';
-import * as body from '../core/body';
+import * as failureResponses from '../core/failure-response';
 import * as httpTask from '../core/http-task';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as rolloutTask from './rollout-task';
@@ -51,7 +51,10 @@
 
 const weightsSchema = zod.object({ version: countSchema });
 
-const MAXIMUM_BODY_BYTES = 64 * 1024 * 1024;
+/** Largest bodies: a step has its prompts, the others names and numbers only. */
+const MAXIMUM_STEP_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_TAKE_BYTES = 4 * 1024 * 1024;
+const MAXIMUM_WEIGHTS_BYTES = 64 * 1024;
 const OK = 200;
 const ACCEPTED = 202;
 
@@ -73,26 +76,30 @@
 
   private add(path: string, handler: httpTask.Handler): void {
     this.options.http.add('post', path, (request, response) => {
-      const refusal = this.findRefusal();
+      const refusal = this.findRefusal(request.params.trainer);
       if (!refusal) return handler(request, response);
-      httpTask.sendFailure(response, refusal);
-      return undefined;
+      return this.options.http.bodies.refuse(request, response, refusal);
     });
   }
 
-  private findRefusal(): decisions.Failure | undefined {
-    if (this.options.isDraining()) return decisions.createFailure('draining');
-    if (this.options.configuration.isConfirmed()) return undefined;
-    return decisions.createFailure('revision-unconfirmed');
+  /** What the head of a request tells against it, before its body is read. */
+  private findRefusal(trainer: string): decisions.Failure | undefined {
+    const { isDraining, configuration } = this.options;
+    if (isDraining()) return decisions.createFailure('draining');
+    if (!configuration.isConfirmed()) return decisions.createFailure('revision-unconfirmed');
+    if (configuration.current.configuration.trainers.has(trainer)) return undefined;
+    return decisions.createFailure('unknown-trainer', { detail: `"${trainer.slice(0, 100)}"` });
   }
 
   private async submit(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const parsed = await body.readJson(request, MAXIMUM_BODY_BYTES, stepSchema);
+    const { bodies } = this.options.http;
+    const parsed = await bodies.readJson(request, response, MAXIMUM_STEP_BYTES, stepSchema);
+    if (!parsed) return;
     if (parsed.isErr()) {
-      httpTask.sendFailure(response, parsed.error);
+      failureResponses.sendFailure(response, parsed.error);
       return;
     }
     const { step, deadline_ms: deadlineMs, groups } = parsed.value;
@@ -108,17 +115,19 @@
         ...(group.mean_tokens && { meanTokens: group.mean_tokens }),
       })),
     });
-    if (result.isErr()) httpTask.sendFailure(response, result.error);
-    else httpTask.sendJson(response, ACCEPTED, { step, groups: groups.length });
+    if (result.isErr()) failureResponses.sendFailure(response, result.error);
+    else failureResponses.sendJson(response, ACCEPTED, { step, groups: groups.length });
   }
 
   private async take(
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const parsed = await body.readJson(request, MAXIMUM_BODY_BYTES, takeSchema);
+    const { bodies } = this.options.http;
+    const parsed = await bodies.readJson(request, response, MAXIMUM_TAKE_BYTES, takeSchema);
+    if (!parsed) return;
     if (parsed.isErr()) {
-      httpTask.sendFailure(response, parsed.error);
+      failureResponses.sendFailure(response, parsed.error);
       return;
     }
     const { trainer, step } = request.params;
@@ -130,11 +139,11 @@
       waitMs,
     });
     if (result.isErr()) {
-      httpTask.sendFailure(response, result.error);
+      failureResponses.sendFailure(response, result.error);
       return;
     }
     const { groups, remaining } = result.value;
-    httpTask.sendJson(response, OK, {
+    failureResponses.sendJson(response, OK, {
       remaining,
       groups: groups.map(({ group, samples }) => ({
         group,
@@ -153,14 +162,16 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const parsed = await body.readJson(request, MAXIMUM_BODY_BYTES, weightsSchema);
+    const { bodies } = this.options.http;
+    const parsed = await bodies.readJson(request, response, MAXIMUM_WEIGHTS_BYTES, weightsSchema);
+    if (!parsed) return;
     if (parsed.isErr()) {
-      httpTask.sendFailure(response, parsed.error);
+      failureResponses.sendFailure(response, parsed.error);
       return;
     }
     const { version } = parsed.value;
     const result = await this.options.weights.announce(request.params.trainer, version);
-    if (result.isErr()) httpTask.sendFailure(response, result.error);
-    else httpTask.sendJson(response, ACCEPTED, { version });
+    if (result.isErr()) failureResponses.sendFailure(response, result.error);
+    else failureResponses.sendJson(response, ACCEPTED, { version });
   }
 }
--- a/packages/daemon/src/target/attempt-run.ts
+++ b/packages/daemon/src/target/attempt-run.ts
@@ -8,7 +8,8 @@
 import * as decisions from '@azureworks/decisions';
 import type * as forwardedRequests from '../core/forwarded-request';
 import type * as forwarders from '../core/forwarder';
-import * as httpTask from '../core/http-task';
+import * as failureResponses from '../core/failure-response';
+import type * as httpTask from '../core/http-task';
 import * as headers from '../types/headers';
 import * as byteSearch from '../utils/byte-search';
 import type * as ledgers from './ledger';
@@ -143,13 +144,13 @@
 
   private refuse(): void {
     this.finish(false);
-    httpTask.sendFailure(this.options.response, decisions.createFailure('no-target'));
+    failureResponses.sendFailure(this.options.response, decisions.createFailure('no-target'));
   }
 
   private failWithUnknownOutcome(): void {
     this.options.ledger.recordUnknown(this.options.attempt);
     this.finish(false);
-    httpTask.sendFailure(this.options.response, decisions.createFailure('target-failed'));
+    failureResponses.sendFailure(this.options.response, decisions.createFailure('target-failed'));
   }
 
   private finish(hasRun: boolean): void {
--- a/packages/daemon/src/target/target.ts
+++ b/packages/daemon/src/target/target.ts
@@ -9,6 +9,7 @@
 import type * as daemons from '../core/daemon';
 import * as httpTask from '../core/http-task';
 import * as observability from '../core/observability';
+import * as resources from '../core/resources';
 import * as tls from '../core/tls';
 import * as linksTask from './links-task';
 import * as states from './target-state';
@@ -43,12 +44,13 @@
     const sharedMetrics = runtime.Metrics.create();
     const platform = storage.Storage.create(settings.platform.url, settings.platform.timeout_ms);
     const state = states.TargetState.create(clock);
-    const http = httpTask.HttpTask.create(
-      daemon.address,
-      daemon.http_port,
-      daemon.drain_timeout_ms,
-      tls.createKeyReader(settings),
-    );
+    const http = httpTask.HttpTask.create({
+      address: daemon.address,
+      port: daemon.http_port,
+      drainTimeoutMs: daemon.drain_timeout_ms,
+      readKeys: tls.createKeyReader(settings),
+      bodies: resources.createBodies(daemon, log, sharedMetrics),
+    });
     const isEngine = target.kind === 'engine';
     const work = workTask.WorkTask.create({
       http,
--- a/packages/daemon/src/target/work-task.ts
+++ b/packages/daemon/src/target/work-task.ts
@@ -5,8 +5,8 @@
 import type * as http from 'node:http';
 import * as decisions from '@azureworks/decisions';
 import * as runtime from '@azureworks/runtime';
-import * as body from '../core/body';
 import * as forwarders from '../core/forwarder';
+import * as failureResponses from '../core/failure-response';
 import * as httpTask from '../core/http-task';
 import * as topics from '../core/topic';
 import * as headers from '../types/headers';
@@ -106,8 +106,8 @@
   private addPeerRoute(method: httpTask.Method, path: string, handler: httpTask.Handler): void {
     this.options.http.add(method, path, (request, response) => {
       if (httpTask.isAuthenticatedPeer(request)) return handler(request, response);
-      httpTask.sendFailure(response, decisions.createFailure('unauthorized'));
-      return undefined;
+      const failure = decisions.createFailure('unauthorized');
+      return this.options.http.bodies.refuse(request, response, failure);
     });
   }
 
@@ -115,20 +115,18 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const requestBody = await body.readBody(request, MAXIMUM_BODY_BYTES);
-    if (requestBody.isErr()) {
-      httpTask.sendFailure(response, requestBody.error);
-      return;
-    }
+    const { bodies } = this.options.http;
+    const requestBody = await bodies.read(request, response, MAXIMUM_BODY_BYTES);
+    if (!requestBody) return;
     const attempt = readHeader(request.headers[headers.Header.Attempt]);
     const incarnation = Number(request.headers[headers.Header.Incarnation]);
     const refusal = this.findRefusal(attempt, incarnation);
     if (refusal) {
       this.options.metrics.count('work_refused', { code: refusal.code });
-      httpTask.sendFailure(response, refusal);
+      failureResponses.sendFailure(response, refusal);
       return;
     }
-    this.enqueue(attempt, request, response, requestBody.value);
+    this.enqueue(attempt, request, response, requestBody);
   }
 
   private findRefusal(attempt: string, incarnation: number): decisions.Failure | undefined {
@@ -175,7 +173,7 @@
     const isDeadline = reason === queues.RejectionReason.Deadline;
     const failure = decisions.createFailure(isDeadline ? 'deadline-exceeded' : 'draining');
     this.options.metrics.count('work_given_back', { reason });
-    httpTask.sendFailure(response, failure);
+    failureResponses.sendFailure(response, failure);
   }
 
   private dispatch(
@@ -187,7 +185,7 @@
     const { clock } = this.options;
     if (!this.ledger.dispatch(attempt)) {
       this.queue.release(clock.nowMs());
-      httpTask.sendFailure(response, decisions.createFailure('request-barred'));
+      failureResponses.sendFailure(response, decisions.createFailure('request-barred'));
       return;
     }
     const startMs = clock.nowMs();
@@ -223,7 +221,7 @@
     const { attempt } = request.params;
     const url = new URL(request.url, 'http://target');
     if (Number(request.headers[headers.Header.Incarnation]) !== this.options.incarnation) {
-      httpTask.sendJson(response, OK, { state: ledgers.AttemptState.Unknown });
+      failureResponses.sendJson(response, OK, { state: ledgers.AttemptState.Unknown });
       return;
     }
     const waitUntilMs = this.options.clock.nowMs() + Number(url.searchParams.get('wait_ms') ?? 0);
@@ -232,7 +230,7 @@
       await runtime.pause(SETTLE_POLL_INTERVAL_MS);
       state = this.ledger.bar(attempt);
     }
-    httpTask.sendJson(response, OK, { state, answer: this.ledger.getResponse(attempt) });
+    failureResponses.sendJson(response, OK, { state, answer: this.ledger.getResponse(attempt) });
   }
 }
 
--- a/packages/intake/src/core/memory-budget.ts
+++ b/packages/intake/src/core/memory-budget.ts
@@ -29,6 +29,11 @@
     return this.reservedBytes;
   }
 
+  /** The largest reservation while nothing else is held, in bytes. */
+  get largestBytes(): number {
+    return Math.floor(this.totalBytes * (1 - SMALL_SHARE));
+  }
+
   open(): memories.Reservation {
     return budgetReservations.BudgetReservation.create(this);
   }
--- a/packages/standins/__tests__/untrusted-clients.test.ts
+++ b/packages/standins/__tests__/untrusted-clients.test.ts
@@ -12,6 +12,7 @@
 const MEBIBYTE = 1024 * KIBIBYTE;
 const MAXIMUM_MEMORY_MB = 256;
 const MAXIMUM_DESCRIPTORS = 400;
+const SETTINGS = [`maximum_descriptors = ${MAXIMUM_DESCRIPTORS}`];
 /** How long the clients send before the booking, if they have not sent everything by then. */
 const ATTACK_MS = 8000;
 /** A daemon that hangs takes longer. */
@@ -198,7 +199,7 @@
   it.each(CROWDS)(
     'survive at %s',
     async (_what, attacked, count, sending) => {
-      fleet = await attackedFleets.AttackedFleet.create(attacked);
+      fleet = await attackedFleets.AttackedFleet.create(attacked, SETTINGS);
       await fleet.attack(count, sending, ATTACK_MS);
       expectServed(await fleet.bookOnce(), 201);
     },
