Open steps hold a bounded memory, and a step is at most 16 MB

An entry ended for want of heap when trainers' steps of legal size came, one of 64 MB alone or a few of 16 MB: their text, their values and the manifest for the object store are in the heap at the same time, and open steps stay.

Cause: the largest step was a constant that the heap of the daemon's own first line (80 MB) never held, and nothing counted open steps.

Change: a step has 16 MB at most (413 above, it was not run); steps of 24 MB were served before, those of 32 MB ended the process. Open steps count for the memory of open work, twice their prompts, until they are closed; a step that does not fit is refused as not run (503 memory-exhausted). A step that another entry accepted counts, and is not refused.

--- a/packages/daemon/src/entry/components.ts
+++ b/packages/daemon/src/entry/components.ts
@@ -159,6 +159,7 @@
     executor,
     placement: membership,
     objects: platform.objects,
+    memory: shared.http.bodies.memory,
   });
   const weights = weightsTask.WeightsTask.create({
     ...taskOptions,
--- a/packages/daemon/src/rollout/rollout-task.ts
+++ b/packages/daemon/src/rollout/rollout-task.ts
@@ -4,10 +4,12 @@
  */
 import type * as configuration from '@azureworks/configuration';
 import * as decisions from '@azureworks/decisions';
+import type * as intake from '@azureworks/intake';
 import type * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
 import type * as storage from '@azureworks/storage';
 import type * as runtime from '@azureworks/runtime';
+import * as body from '../core/body';
 import type * as configurationTask from '../entry/configuration-task';
 import type * as directories from '../entry/target-directory';
 import type * as gossipStates from '../entry/gossip-state';
@@ -33,6 +35,7 @@
   readonly executor: groupExecutor.GroupExecutor;
   readonly placement: GroupPlacement;
   readonly objects: storage.ObjectStore;
+  readonly memory: intake.Memory;
   readonly metrics: runtime.Metrics;
   readonly clock: decisions.Clock;
 }
@@ -44,12 +47,21 @@
 const RUNNING_SAMPLES_PER_SLOT = 6;
 const MINIMUM_RUNNING_GROUPS = 2;
 const MAXIMUM_STALENESS_LABEL = 10;
+/** Memory of an open step in multiples of its prompts: the heap has less room than the whole budget. */
+const HELD_COPIES = 2;
+/** Memory of a group without its prompt, in bytes. */
+const GROUP_BYTES = 500;
+
+interface OpenStep {
+  readonly coordinator: coordinators.StepCoordinator;
+  readonly reservation: intake.Reservation;
+}
 
 /** Coordinates the steps of trainers. */
 export class RolloutTask implements runtime.Task {
   readonly name = 'rollout';
 
-  private readonly steps = new Map<string, coordinators.StepCoordinator>();
+  private readonly steps = new Map<string, OpenStep>();
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -67,8 +79,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.timer);
-    this.steps.forEach((step) => step.close());
-    this.steps.clear();
+    this.steps.forEach((_step, key) => this.closeStep(key));
   }
 
   /** Starts a step; submitting the same step again has no effect. */
@@ -77,7 +88,9 @@
     if (trainer.isErr()) return neverthrow.err(trainer.error);
     const key = createStepKey(manifest.trainer, manifest.step);
     if (this.steps.has(key)) return neverthrow.ok(undefined);
-    this.openStep(manifest).startGroups();
+    const reservation = this.options.memory.tryTake(estimateBytes(manifest));
+    if (!reservation) return neverthrow.err(body.createMemoryRefusal());
+    this.openStep(manifest, reservation).startGroups();
     // The trainer keeps the step itself and submits it again if this write fails.
     this.options.objects.putIfAbsent(`${key}/manifest`, manifest).match(
       () => this.options.metrics.count('manifests', { ok: 'true' }),
@@ -107,13 +120,21 @@
   ): Promise<coordinators.StepCoordinator | undefined> {
     const key = createStepKey(trainer, step);
     const existing = this.steps.get(key);
-    if (existing) return existing;
+    if (existing) return existing.coordinator;
     const read = await this.options.objects.read<coordinators.StepManifest>(`${key}/manifest`);
     if (read.isErr() || !read.value) return undefined;
-    return this.steps.get(key) ?? this.openStep(read.value);
+    const opened = this.steps.get(key);
+    if (opened) return opened.coordinator;
+    // A step that another entry accepted is not refused here, but counts.
+    const reservation = this.options.memory.open();
+    reservation.grow(estimateBytes(read.value));
+    return this.openStep(read.value, reservation);
   }
 
-  private openStep(manifest: coordinators.StepManifest): coordinators.StepCoordinator {
+  private openStep(
+    manifest: coordinators.StepManifest,
+    reservation: intake.Reservation,
+  ): coordinators.StepCoordinator {
     const { gossipState: sharedState, metrics, clock } = this.options;
     const { trainer } = manifest;
     const coordinator = coordinators.StepCoordinator.create(manifest, {
@@ -127,10 +148,18 @@
         metrics.count('groups_discarded', { trainer, staleness: label });
       },
     });
-    this.steps.set(createStepKey(trainer, manifest.step), coordinator);
+    this.steps.set(createStepKey(trainer, manifest.step), { coordinator, reservation });
     return coordinator;
   }
 
+  private closeStep(key: string): void {
+    const step = this.steps.get(key);
+    if (!step) return;
+    step.coordinator.close();
+    step.reservation.release();
+    this.steps.delete(key);
+  }
+
   /** Runs a group at its owner; if that fails, at the next entry in rendezvous order. */
   private async runGroup(order: links.GroupOrder): Promise<RolloutResult<links.GroupResult>> {
     const { placement, executor, name } = this.options;
@@ -170,14 +199,17 @@
 
   private removeIdleSteps(): void {
     const oldestMs = this.options.clock.nowMs() - STEP_IDLE_TIMEOUT_MS;
-    this.steps.forEach((step, key) => {
-      if (!step.isDone() && step.lastRequestMs >= oldestMs) return;
-      step.close();
-      this.steps.delete(key);
+    this.steps.forEach(({ coordinator }, key) => {
+      if (coordinator.isDone() || coordinator.lastRequestMs < oldestMs) this.closeStep(key);
     });
   }
 }
 
+function estimateBytes({ groups }: coordinators.StepManifest): number {
+  const bytes = groups.reduce((sum, { prompt }) => sum + prompt.length + GROUP_BYTES, 0);
+  return HELD_COPIES * bytes;
+}
+
 function createStepKey(trainer: string, step: string): string {
   return `steps/${trainer}/${step}`;
 }
--- a/packages/daemon/src/rollout/trainer-api.ts
+++ b/packages/daemon/src/rollout/trainer-api.ts
@@ -52,7 +52,7 @@
 const weightsSchema = zod.object({ version: countSchema });
 
 /** Largest bodies: a step has its prompts, the others names and numbers only. */
-const MAXIMUM_STEP_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_STEP_BYTES = 16 * 1024 * 1024;
 const MAXIMUM_TAKE_BYTES = 4 * 1024 * 1024;
 const MAXIMUM_WEIGHTS_BYTES = 64 * 1024;
 const OK = 200;
