The control port of a daemon has a limit of connections

Cause: the gRPC server accepts without a limit, and has no setting for one.

Change: a listener of our own accepts, and hands sockets to the gRPC server within a tenth of maximum_descriptors, at least 64. At the limit the one that has received nothing for longest is closed; links between daemons have heartbeats, and are passed over.

Measured (x86-64): both process tests of control ports pass; that of an entry failed before. Tests of links and the daemon: 68 passed.

--- a/packages/daemon/src/core/resources.ts
+++ b/packages/daemon/src/core/resources.ts
@@ -35,3 +35,17 @@
     metrics,
   });
 }
+
+/** The limit of connections on the control port, which other daemons use. */
+export function createControlLimit(
+  settings: configuration.DaemonSettings,
+  log: runtime.Log,
+  metrics: runtime.Metrics,
+): intake.SocketLimitOptions {
+  return {
+    maximumConnections: intake.computePeerConnectionLimit(readMaximumDescriptors(settings)),
+    listener: 'control',
+    log,
+    metrics,
+  };
+}
--- a/packages/daemon/src/entry/components.ts
+++ b/packages/daemon/src/entry/components.ts
@@ -82,6 +82,7 @@
     },
     controlPort: daemon.control_port,
     credentials,
+    controlLimit: resources.createControlLimit(daemon, log, shared.metrics),
     vms: shared.platform.vms,
     configuration: configurationTask,
     log,
--- a/packages/daemon/src/entry/membership-task.ts
+++ b/packages/daemon/src/entry/membership-task.ts
@@ -6,6 +6,7 @@
  * and a suspicion can be refuted.
  */
 import * as decisions from '@azureworks/decisions';
+import type * as intake from '@azureworks/intake';
 import * as links from '@azureworks/links';
 import * as neverthrow from 'neverthrow';
 import type * as storage from '@azureworks/storage';
@@ -27,6 +28,7 @@
   readonly self: Omit<links.Member, 'controlPort' | 'httpPort' | 'state'>;
   readonly controlPort: number;
   readonly credentials: links.CredentialSource;
+  readonly controlLimit: intake.SocketLimitOptions;
   readonly vms: storage.VmList;
   readonly configuration: configurationTask.ConfigurationTask;
   readonly gossipState: gossipStates.GossipState;
@@ -99,8 +101,8 @@
   }
 
   async start(): Promise<void> {
-    const { self, controlPort, credentials } = this.options;
-    this.server = links.ControlServer.create(credentials);
+    const { self, controlPort, credentials, controlLimit } = this.options;
+    this.server = links.ControlServer.create(credentials, controlLimit);
     this.server.addPeerService(this);
     this.boundPort = await this.server.listen(self.address, this.boundPort || controlPort);
     const own = {
--- a/packages/daemon/src/target/links-task.ts
+++ b/packages/daemon/src/target/links-task.ts
@@ -6,6 +6,7 @@
 import type * as configuration from '@azureworks/configuration';
 import type * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
+import * as resources from '../core/resources';
 import * as topics from '../core/topic';
 import type * as states from './target-state';
 import type * as work from './work-task';
@@ -64,7 +65,9 @@
 
   async start(): Promise<void> {
     const { daemon } = this.options.settings;
-    const server = links.ControlServer.create(this.options.credentials);
+    const { credentials, log, metrics } = this.options;
+    const limit = resources.createControlLimit(daemon, log, metrics);
+    const server = links.ControlServer.create(credentials, limit);
     server.addLinkService(this);
     this.server = server;
     this.boundPort = await server.listen(daemon.address, this.boundPort || daemon.control_port);
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -13,4 +13,5 @@
   MEMORY_RETRY_AFTER_MS,
   RequestIntake,
 } from './http/request-intake';
+export { SocketLimit, type SocketLimitOptions } from './http/socket-limit';
 export type { Memory, Reservation } from './types/memory';
--- a/packages/links/__tests__/messages.test.ts
+++ b/packages/links/__tests__/messages.test.ts
@@ -1,6 +1,7 @@
 import * as fastCheck from 'fast-check';
 import * as grpc from '@grpc/grpc-js';
 import * as links from '@azureworks/links';
+import * as runtime from '@azureworks/runtime';
 
 const ADDRESS = '127.0.0.1';
 
@@ -43,7 +44,12 @@
   let handledCalls = 0;
 
   beforeAll(async () => {
-    server = links.ControlServer.create(links.PlainCredentials.create());
+    server = links.ControlServer.create(links.PlainCredentials.create(), {
+      maximumConnections: 64,
+      listener: 'control',
+      log: runtime.SilentLog.create(),
+      metrics: runtime.Metrics.create(),
+    });
     const refuse = (): never => {
       handledCalls += 1;
       throw new Error('refused');
--- a/packages/links/src/core/control-server.ts
+++ b/packages/links/src/core/control-server.ts
@@ -1,6 +1,8 @@
 /**
  * The gRPC server on the control port of a daemon.
  */
+import * as net from 'node:net';
+import * as intake from '@azureworks/intake';
 import * as grpc from '@grpc/grpc-js';
 import type * as credentials from '../types/credentials';
 import type * as messages from '../types/messages';
@@ -32,13 +34,23 @@
 
 /** A gRPC server to which a daemon adds the services of its role. */
 export class ControlServer {
-  private constructor(
-    private readonly server: grpc.Server,
-    private readonly credentialSource: credentials.CredentialSource,
-  ) {}
+  private readonly server = new grpc.Server(services.CHANNEL_OPTIONS);
 
-  static create(credentialSource: credentials.CredentialSource): ControlServer {
-    return new ControlServer(new grpc.Server(services.CHANNEL_OPTIONS), credentialSource);
+  /** Accepts the connections, as the gRPC server does not limit their number. */
+  private readonly listener = net.createServer({ noDelay: true });
+
+  private readonly sockets = new Set<net.Socket>();
+
+  private constructor(private readonly credentialSource: credentials.CredentialSource) {}
+
+  /** @param limit of its connections */
+  static create(
+    credentialSource: credentials.CredentialSource,
+    limit: intake.SocketLimitOptions,
+  ): ControlServer {
+    const server = new ControlServer(credentialSource);
+    intake.SocketLimit.apply(server.listener, limit);
+    return server;
   }
 
   /** Adds the peer service of an entry. */
@@ -73,18 +85,27 @@
 
   /** Binds the port, or any free port for 0, and returns the bound port. */
   listen(address: string, port: number): Promise<number> {
+    const { listener, server } = this;
+    const injector = server.createConnectionInjector(
+      this.credentialSource.createServerCredentials(),
+    );
+    listener.on('connection', (socket) => {
+      if (socket.destroyed) return;
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+      injector.injectConnection(socket);
+    });
     return new Promise((resolve, reject) => {
-      const serverCredentials = this.credentialSource.createServerCredentials();
-      this.server.bindAsync(`${address}:${port}`, serverCredentials, (error, boundPort) => {
-        if (error) reject(error);
-        else resolve(boundPort);
-      });
+      listener.once('error', reject);
+      listener.listen(port, address, () => resolve((listener.address() as net.AddressInfo).port));
     });
   }
 
   /** Closes the port and all connections immediately. */
   close(): void {
+    this.listener.close();
     this.server.forceShutdown();
+    this.sockets.forEach((socket) => socket.destroy());
   }
 }
 
