A status that HTTP does not have is no answer

Callers of a gateway got answers of replicas with a status of 600 or 999, as they were and with the stamp; a request that carried "not run" beside such a status was sent again. A target daemon ended or spoilt exchanges with 000, 099, 600 and 999, and took 102, 103 and 199 for the answer itself. A transaction that the store answered with such a status counted as not done.

Cause: every place that looked at a status compared it with the ones that it knew; nothing asked whether it is one of HTTP. A replica, a target or a store in trouble then decides what its caller believes.

Change: one function in decisions tells informational, final and invalid statuses apart.

--- a/packages/daemon/src/core/forwarded-request.ts
+++ b/packages/daemon/src/core/forwarded-request.ts
@@ -3,8 +3,12 @@
  * or parsing. A failure tells whether any byte of the request may have been sent, which decides the
  * verdict.
  */
+import * as decisions from '@azureworks/decisions';
 import type * as undici from 'undici';
 
+/** Informational responses after which the other process is taken to send them without end. */
+const MAXIMUM_INFORMATIONAL_RESPONSES = 8;
+
 /** Response headers. */
 export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -32,6 +36,8 @@
 
   private hasEnded = false;
 
+  private informationalResponses = 0;
+
   constructor(private readonly handler: ResponseHandler) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -40,11 +46,19 @@
   }
 
   onResponseStart(
-    _controller: undici.Dispatcher.DispatchController,
+    controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: ResponseHeaders,
   ): void {
-    if (!this.hasEnded) this.handler.head(status, headers);
+    const kind = decisions.classifyStatus(status);
+    if (kind === decisions.StatusKind.Informational) {
+      this.informationalResponses += 1;
+      if (this.informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) {
+        controller.abort(new Error('too many informational responses'));
+      }
+    } else if (kind === decisions.StatusKind.Invalid) {
+      controller.abort(new Error(`status ${status} is none of HTTP`));
+    } else if (!this.hasEnded) this.handler.head(status, headers);
   }
 
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
   promisesNotRun,
   isErrorCode,
 } from './core/errors';
+export { classifyStatus, StatusKind } from './core/http-status';
 export { chooseNode, rankNodes } from './core/rendezvous';
 export {
   type EndedReplica,
