--- a/packages/standins/__tests__/support/attacked-fleet.ts
+++ b/packages/standins/__tests__/support/attacked-fleet.ts
@@ -138,6 +138,11 @@
     }
   }
 
+  /** Stops the attacked process as planned; resolves to its exit code. */
+  stopDaemon(): Promise<number | null> {
+    return this.daemon.stop();
+  }
+
   async stop(): Promise<void> {
     this.sampler.stop();
     this.clients.forEach((client) => client.stop());
--- a/packages/standins/__tests__/untrusted-clients.test.ts
+++ b/packages/standins/__tests__/untrusted-clients.test.ts
@@ -206,6 +206,19 @@
     TEST_TIMEOUT_MS,
   );
 
+  // What a stop waits for must not be in the hands of clients that never finish.
+  it(
+    'stop as planned beside bodies without end and in tiny pieces',
+    async () => {
+      const settings = [...SETTINGS, 'drain_timeout_ms = 3000'];
+      fleet = await attackedFleets.AttackedFleet.create(Attacked.Entry, settings);
+      await fleet.attack(30, createEndless(SERVICE), 1000);
+      await fleet.attack(30, createTinyChunks(STEPS), 1000);
+      expect(await fleet.stopDaemon()).toBe(0);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   // Limits against many clients of a kind must not refuse a single one of them.
   it.each([
     ['body of the largest size', SERVICE, 201, Buffer.alloc(MAXIMUM_BODY_BYTES)],
