What a request's head says is checked again once its body has come

A caller with a slow body could get its request dispatched after a stop had begun or the configuration had lapsed, and lost of its deadline what the body took: since heads are checked before bodies are read, the verdict was kept over that wait.

The system's limit of descriptors is read once: a report of the process takes long when many sockets are open.

--- a/packages/daemon/__tests__/bad-input.test.ts
+++ b/packages/daemon/__tests__/bad-input.test.ts
@@ -1,3 +1,6 @@
+import * as net from 'node:net';
+import * as stream from 'node:stream';
+import * as runtime from '@azureworks/runtime';
 import * as fastCheck from 'fast-check';
 import * as undici from 'undici';
 import * as localSystem from './support/local-system';
@@ -54,6 +57,50 @@
     },
   );
 
+  it('is refused from its head, before its body has come', async () => {
+    const { port, hostname } = new URL(system.url);
+    const headCases: [string, string, string, string][] = [
+      ['/v1/services/app/bookings', 'x', '403', 'unknown-tenant'],
+      ['/v1/services/app/bookings', 'closed', '401', 'unauthorized'],
+      ['/v1/services/gone/bookings', 'open', '404', 'unknown-service'],
+      ['/v1/trainers/nobody/steps', 'open', '404', 'unknown-trainer'],
+      ['/v2/nothing', 'open', '404', 'not-found'],
+    ];
+    for (const [path, organisation, status, code] of headCases) {
+      const socket = net.connect(Number(port), hostname);
+      const head = `POST ${path} HTTP/1.1\r\nHost: x\r\nContent-Length: 100`;
+      socket.write(`${head}\r\nx-azureworks-tenant: ${organisation}\r\n\r\n`);
+      let text = '';
+      await new Promise<void>((resolve) => {
+        socket.on('data', (bytes) => {
+          text += bytes.toString('latin1');
+          if (text.includes('"verdict"')) resolve();
+        });
+        socket.on('close', () => resolve());
+      });
+      socket.destroy();
+      expect(text).toContain(`HTTP/1.1 ${status} `);
+      expect(text).toContain(`"code":"${code}","verdict":"not-run"`);
+    }
+  });
+
+  it('gives a slow body its whole deadline once it has come', async () => {
+    const body = stream.Readable.from(
+      (async function* sendSlowly() {
+        yield Buffer.from('{');
+        await runtime.pause(600);
+        yield Buffer.from('}');
+      })(),
+    );
+    const response = await undici.request(`${system.url}/v1/services/app/bookings`, {
+      method: 'POST',
+      headers: { 'x-azureworks-tenant': 'open', 'x-azureworks-deadline-ms': '500' },
+      body,
+    });
+    await response.body.dump();
+    expect(response.statusCode).toBe(201);
+  });
+
   it('accepts a request with the correct token', async () => {
     const headers = { 'x-azureworks-tenant': 'closed', authorization: 'Bearer secret' };
     const answer = await system.post(COMPLETIONS, { prompt: 'p', max_tokens: 8 }, headers);
--- a/packages/daemon/src/core/resources.ts
+++ b/packages/daemon/src/core/resources.ts
@@ -13,13 +13,19 @@
   readonly userLimits?: { readonly open_files?: { readonly soft: number | 'unlimited' } };
 }
 
+/** What the system allows; read once, as a report takes long when many sockets are open. */
+let allowedDescriptors: number | undefined;
+
 /** Descriptors that a daemon uses: as many as its settings say, and not more than the system allows. */
-export function readMaximumDescriptors({
+function readMaximumDescriptors({
   maximum_descriptors: configured,
 }: configuration.DaemonSettings): number {
-  const report = process.report.getReport() as ProcessReport;
-  const allowed = Number(report.userLimits?.open_files?.soft);
-  return Number.isFinite(allowed) ? Math.min(configured, allowed) : configured;
+  if (allowedDescriptors === undefined) {
+    const report = process.report.getReport() as ProcessReport;
+    const softLimit = Number(report.userLimits?.open_files?.soft);
+    allowedDescriptors = Number.isFinite(softLimit) ? softLimit : Number.POSITIVE_INFINITY;
+  }
+  return Math.min(configured, allowedDescriptors);
 }
 
 /** Creates the bounds of the requests of a daemon. */
--- a/packages/daemon/src/entry/caller-api.ts
+++ b/packages/daemon/src/entry/caller-api.ts
@@ -80,11 +80,12 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const { bodies } = this.options.http;
-    const head = this.checkHead(request, () => this.findEngine(request.params.engine));
+    const checkHead = () => this.checkHead(request, () => this.findEngine(request.params.engine));
     const limitBytes = bodies.limitJson(this.limits.maximum_body_bytes);
-    const content = await this.readContent(head, request, response, limitBytes);
+    const content = await this.readContent(checkHead(), request, response, limitBytes);
     if (!content) return;
-    const checked = head
+    // A stop or a new configuration may have come while the body was read, and its deadline begins now.
+    const checked = checkHead()
       .andThen((common) => bodies.reserveParsed(response, content).map(() => common))
       .andThen((common) => this.checkCompletion(request, common, content));
     await this.answer(checked, response);
@@ -94,11 +95,13 @@
     request: httpTask.RoutedRequest,
     response: http.ServerResponse,
   ): Promise<void> {
-    const head = this.checkHead(request, () => this.findService(request.params.service));
+    const checkHead = () => this.checkHead(request, () => this.findService(request.params.service));
     const limitBytes = this.limits.maximum_body_bytes;
-    const content = await this.readContent(head, request, response, limitBytes);
+    const content = await this.readContent(checkHead(), request, response, limitBytes);
     if (!content) return;
-    const checked = head.andThen((common) => this.checkServiceCall(request, common, content));
+    const checked = checkHead().andThen((common) =>
+      this.checkServiceCall(request, common, content),
+    );
     await this.answer(checked, response);
   }
 
@@ -144,7 +147,6 @@
     content: Buffer,
   ): CheckResult<requests.Request> {
     const { engine: service } = request.params;
-    // The configuration may have changed while the body was read.
     return this.findEngine(service).andThen((engine) =>
       body.parseJson(content, completionSchema).map((completion) => ({
         ...common,
