Clients that are refused together do not come back together

Hundreds of clients that were refused within a moment got the same Retry-After, and those that follow it were all there again at the same time.

Cause: the delay was a constant, 1 s for connections and tiny pieces and 0.2 s for want of memory.

Change: it is spread evenly over as long again.

--- a/packages/intake/src/http/request-intake.ts
+++ b/packages/intake/src/http/request-intake.ts
@@ -6,6 +6,7 @@
 import * as decisions from '@azureworks/decisions';
 import type * as runtime from '@azureworks/runtime';
 import * as bodyIntakes from '../core/body-intake';
+import * as retryDelays from '../core/retry-delay';
 import type * as memories from '../types/memory';
 import * as clientSockets from './client-sockets';
 import * as requestBodies from './request-body';
@@ -42,10 +43,10 @@
 
 /**
  * When a request may come again that did not fit the memory, in milliseconds: other processes may have room
- * at once.
+ * at once. What is told to clients is spread over as long again.
  */
 export const MEMORY_RETRY_AFTER_MS = 200;
-/** Told to clients that are refused for their connections or their tiny pieces, in milliseconds. */
+/** Least time told to clients refused for their connections or their tiny pieces, in milliseconds. */
 const RETRY_AFTER_MS = 1000;
 
 type Refusal = Exclude<requestBodies.BodyEnd['kind'], 'whole' | 'cut-off'> | 'too-many-connections';
@@ -182,6 +183,7 @@
 function createFailure(refusal: Refusal): decisions.Failure {
   const code = REFUSAL_CODES[refusal];
   if (refusal === 'too-large' || refusal === 'too-slow') return decisions.createFailure(code);
-  const retryAfterMs = refusal === 'no-memory' ? MEMORY_RETRY_AFTER_MS : RETRY_AFTER_MS;
+  const leastMs = refusal === 'no-memory' ? MEMORY_RETRY_AFTER_MS : RETRY_AFTER_MS;
+  const retryAfterMs = retryDelays.spreadDelay(leastMs, Math.random());
   return decisions.createFailure(code, { retryAfterMs });
 }
