Memory counted for a caller that has left is given back

An entry would refuse more and more requests for want of memory, in the end all of them, the more callers left before their answers came.

Cause: an answer, and the copies of a body that is parsed, were counted for a response that may have been closed meanwhile; what is counted for a response is given back when it closes, which had happened already. The fault came with the bounds of daemons; gateways look whether the response is closed.

Change: nothing is counted for a response that is closed.

Measured: a test with a caller that leaves before its answer fails on the former code (100,008 bytes stay held) and passes now. Found by reading.

--- a/packages/daemon/src/core/body.ts
+++ b/packages/daemon/src/core/body.ts
@@ -95,13 +95,15 @@
     bytes: Buffer,
   ): neverthrow.Result<void, decisions.Failure> {
     const copies = (PARSED_COPIES - 1) * bytes.length;
+    // Nothing would give the memory back after the response was closed.
+    if (response.destroyed) return neverthrow.ok(undefined);
     if (this.openReservation(response).tryGrow(copies)) return neverthrow.ok(undefined);
     return neverthrow.err(createMemoryRefusal());
   }
 
   /** Counts what a client has still to read. It is held already, so it is not refused. */
   countResponse(response: http.ServerResponse, bytes: number): void {
-    this.openReservation(response).grow(bytes);
+    if (!response.destroyed) this.openReservation(response).grow(bytes);
   }
 
   /** Answers a request from its head; of its body, only as much is read as lets its client see that. */
