--- a/review/stand-ins-3/stand-ins.mjs
+++ b/review/stand-ins-3/stand-ins.mjs
@@ -309,45 +309,65 @@
   }
 
   report(response) {
-    const answer = {
+    const answer = JSON.stringify({
       stage: 'mixed',
       models: this.listModels(),
-      busy: this.isLoading === true,
+      busy: this.loading !== undefined,
       seq_no: this.seqNo,
       waiting: 0,
       running: this.running,
       kv_used: 0,
       kv_total: 40_000,
       handles: 0,
-    };
-    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer));
+    });
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(answer),
+    });
+    if (this.breaksOffReport?.() === true) {
+      response.write(answer.slice(0, answer.length / 2));
+      setTimeout(() => response.destroy(), 5);
+    } else response.end(answer);
   }
 
   order(order, response) {
     this.orders.push({ atMs: nowMs(), ...order });
     this.onOrder?.(order);
-    const status = this.judgeOrder(order);
-    if (status === 202) {
-      this.seqNo += 1;
-      this.isLoading = true;
-      setTimeout(() => {
-        this.isLoading = false;
-        this.versions.set(order.model, order.version);
-        this.beat();
-      }, this.options.loadMs ?? 900);
+    const lateMs = this.delaysOrder?.(order);
+    if (lateMs !== undefined) {
+      setTimeout(() => this.onLateOrder?.(order, this.carryOut(order)), lateMs);
+      return;
     }
-    response.writeHead(status).end();
+    response.writeHead(this.carryOut(order)).end();
+  }
+
+  /** Carries an order out if it may be; returns the status that says so. */
+  carryOut(order) {
+    const status = this.judgeOrder(order);
+    if (status !== 202) return status;
+    this.seqNo += 1;
+    this.loading = order.model;
+    setTimeout(() => {
+      this.loading = undefined;
+      this.versions.set(order.model, order.version);
+      this.beat();
+    }, this.options.loadMs ?? 900);
+    return status;
   }
 
   judgeOrder({ model, version, expected }) {
     if (!this.versions.has(model)) return 400;
-    if (this.isLoading || (expected ?? this.seqNo) !== this.seqNo) return 409;
+    if (this.loading !== undefined || (expected ?? this.seqNo) !== this.seqNo) return 409;
     return this.versions.get(model) === version ? 200 : 202;
   }
 
   async run(request, response, common, body) {
     const { headers, method, url } = request;
     const id = headers['x-azureworks-attempt-id'] ?? '';
+    if (this.loading !== undefined && this.loading === headers['x-azureworks-model']) {
+      response.writeHead(503, { ...common, 'x-azureworks-not-run': '1' }).end();
+      return;
+    }
     const run = { id, replica: this.id, atMs: nowMs(), headers, method, url, body, isDone: false };
     this.runs.push(run);
     this.onRun?.(run);
@@ -386,6 +406,7 @@
       const current = this.versions.get(model) ?? 1;
       const change = current === version ? '' : `x-azureworks-weight-versions: ${current}\n`;
       version = current;
+      this.onEvent?.(run, event, version);
       response.write(`${change}id: ${event}\ndata: ${createEvent(id, event)}\n\n`);
     }
     run.isDone = true;
@@ -395,6 +416,7 @@
 
 export const createEvent = (id, event) => `${id}/${event}`;
 
+/** The number of events of an item or stream, by its id. */
 export function countEvents(id) {
   return 8 + ([...id].reduce((sum, character) => sum + character.charCodeAt(0), 0) % 8);
 }
@@ -551,9 +573,9 @@
       seeds: '',
       'limits.cpu_share': 0.675,
       'limits.cores': 2,
-      'limits.memory_mb': 370,
+      'limits.memory_mb': 602,
       'limits.max_fds': 8200,
-      'bounds.drain_ms': 2000,
+      'bounds.drain_ms': 3000,
       'bounds.grace_s': 8,
       'bounds.loss_slack_ms': 200,
       'bounds.lease_ms': 3000,
