Weights: tell in logs why an order went without a count, and that weights went back

A replica went back to an older version, and the logs could not tell whether the order for it was sent again by the next holder of the lease, was carried out late by the replica, or arrived late from the former holder: a report that failed left no line, and neither did a version that decreased.

The orders say whether a report came before them, failed reports are logged and counted as weight_reports{isAnswered}, and a version that is lower than the one known is logged with the count of accepted orders.

--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -193,6 +193,7 @@
       held,
       fence,
       acceptedOrders,
+      hasReport: state !== undefined,
       outcome: status,
       tookMs: Math.round(environment.nowMs() - startMs),
     });
@@ -273,10 +274,16 @@
     tracked: directories.TrackedReplica,
     fence: number | undefined,
   ): Promise<replicas.ReplicaReport | undefined> {
-    const { replicaClient } = this.options;
+    const { replicaClient, environment } = this.options;
+    const startMs = environment.nowMs();
     const state = await replicaClient.fetchReport(tracked.replica, REPLICA_DEADLINE_MS);
-    if (!state) return undefined;
-    this.recordVersions(tracked, state.versions);
+    environment.metrics.count('weight_reports', { isAnswered: String(state !== undefined) });
+    if (!state) {
+      const tookMs = Math.round(environment.nowMs() - startMs);
+      environment.log.info('no report of a replica', { replica: tracked.replica.id, tookMs });
+      return undefined;
+    }
+    this.recordVersions(tracked, state);
     const key = incarnations.createIncarnationKey(tracked.replica);
     if (fence !== undefined && !state.isBusy) {
       this.orderCounts.recordReport(key, fence, state.acceptedOrders);
@@ -286,9 +293,17 @@
 
   private recordVersions(
     tracked: directories.TrackedReplica,
-    versions: ReadonlyMap<string, number>,
+    { versions, acceptedOrders }: replicas.ReplicaReport,
   ): void {
-    versions.forEach((version, model) => tracked.observedVersions.set(model, version));
+    versions.forEach((version, model) => {
+      const former = tracked.observedVersions.get(model) ?? 0;
+      if (version < former) {
+        const replica = tracked.replica.id;
+        const details = { replica, model, version, former, acceptedOrders };
+        this.options.environment.log.info('weights of a replica went back', details);
+      }
+      tracked.observedVersions.set(model, version);
+    });
   }
 
   private endOrderAfter(replicaId: string, delayMs: number): void {
