Weights: no order without the count of accepted orders

A replica went back to older weights: it took an order from a process that had ended, after a newer one, and in another case carried an old order out 10 s late. Both orders named no count of accepted orders, so that they were valid whenever they took effect. The report that should have told the count had failed, and the order was sent without it.

An order now always names the count; the type of an order no longer allows another. A replica without a known count is asked for its report again after 0.3 s until it answers, and takes no place among the replicas that load meanwhile.

The simulated replicas count orders and refuse those of another count.

--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -33,6 +33,10 @@
   status: number;
   /** Time until a plain answer. */
   answerMs: number;
+  /** Time until the answer to a request for a report; Infinity: none. */
+  reportMs: number;
+  /** The outcome of the next orders, which the replica does not get; undefined: they arrive. */
+  lostOrders: gateway.OrderStatus | undefined;
   /** The requests per second that it names as its limit; undefined: none. */
   rateLimit: number | undefined;
   /** Whether it says in its answers that it is leaving. */
@@ -67,6 +71,9 @@
 
   readonly versions = new Map<string, number>();
 
+  /** The number of orders that replicas have accepted. */
+  readonly acceptedOrders = new Map<string, number>();
+
   /** The software that replicas have while their rows still tell another one, by replica. */
   readonly actualSoftware = new Map<string, string>();
 
@@ -120,6 +127,8 @@
         streamFailureMs: 100,
         status: 200,
         answerMs: 10,
+        reportMs: 0,
+        lostOrders: undefined,
         rateLimit: undefined,
         isLeaving: false,
         listening: ListeningState.Accepting,
@@ -313,15 +322,27 @@
     _deadlineMs?: number,
     onSignals?: gateway.CallOptions['onSignals'],
   ): Promise<gateway.OrderStatus> {
-    onSignals?.(createSignals(this.getBehaviour(replica.id)));
+    const behaviour = this.getBehaviour(replica.id);
+    if (behaviour.lostOrders !== undefined) return Promise.resolve(behaviour.lostOrders);
+    onSignals?.(createSignals(behaviour));
     this.orders.push({ ...order, replica: replica.id, atMs: time.nowMs() });
+    const accepted = this.acceptedOrders.get(replica.id) ?? 0;
+    if (order.acceptedOrders !== accepted) return Promise.resolve(OrderStatus.Busy);
+    this.acceptedOrders.set(replica.id, accepted + 1);
     setTimeout(() => this.versions.set(replica.id, order.version), 900);
     return Promise.resolve(OrderStatus.Accepted);
   }
 
-  fetchReport(replica: gateway.Replica): Promise<gateway.ReplicaReport | undefined> {
+  async fetchReport(
+    replica: gateway.Replica,
+    deadlineMs = Infinity,
+  ): Promise<gateway.ReplicaReport | undefined> {
+    const { reportMs } = this.getBehaviour(replica.id);
+    if (reportMs > 0) await time.pause(Math.min(reportMs, deadlineMs));
+    if (reportMs > deadlineMs) return undefined;
     const versions = new Map([['model', this.versions.get(replica.id) ?? 1]]);
-    return Promise.resolve({ versions, isBusy: false, acceptedOrders: 0 });
+    const acceptedOrders = this.acceptedOrders.get(replica.id) ?? 0;
+    return { versions, isBusy: false, acceptedOrders };
   }
 
   probe(replica: gateway.Replica): Promise<gateway.ListeningState> {
--- a/packages/gateway/__tests__/support/test-system.ts
+++ b/packages/gateway/__tests__/support/test-system.ts
@@ -331,7 +331,8 @@
       call: (...call) => unlessDead(() => replicas.call(...call)),
       stream: (...stream) => unlessDead(() => this.streamUnlessCut(connectivity, ...stream)),
       order: (...order) => unlessDead(() => replicas.order(...order)),
-      fetchReport: (replica) => unlessDead(() => replicas.fetchReport(replica)),
+      fetchReport: (replica, timeLimitMs) =>
+        unlessDead(() => replicas.fetchReport(replica, timeLimitMs)),
       probe: (replica) => unlessDead(() => replicas.probe(replica)),
       closeConnections: (replica) => replicas.closeConnections(replica),
       close: () => Promise.resolve(),
--- a/packages/gateway/src/types/replica.ts
+++ b/packages/gateway/src/types/replica.ts
@@ -188,8 +188,11 @@
   readonly waitsForRunningRequests: boolean;
   readonly holder: string;
   readonly fence: number;
-  /** The order is valid only if the replica has accepted this many so far; undefined: any. */
-  readonly acceptedOrders: number | undefined;
+  /**
+   * The order is valid only if the replica has accepted this many so far. One that reaches the replica late thus
+   * has no effect after a newer one.
+   */
+  readonly acceptedOrders: number;
 }
 
 /** How a replica responded to an order. */
--- a/packages/gateway/src/weights/order-counts.ts
+++ b/packages/gateway/src/weights/order-counts.ts
@@ -16,8 +16,8 @@
 
 /** The outcome of an order. */
 export interface OrderOutcome {
-  /** The number for which the order was valid; undefined: any. */
-  readonly acceptedOrders: number | undefined;
+  /** The number for which the order was valid. */
+  readonly acceptedOrders: number;
   readonly status: replicas.OrderStatus;
 }
 
@@ -47,7 +47,7 @@
 
   recordOrder(replica: string, fence: number, { acceptedOrders, status }: OrderOutcome): void {
     const { OrderStatus } = replicas;
-    if (acceptedOrders !== undefined && status === OrderStatus.Accepted) {
+    if (status === OrderStatus.Accepted) {
       this.recordReport(replica, fence, acceptedOrders + 1);
     } else if (status !== OrderStatus.AlreadyHolds) {
       this.counts.delete(replica);
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -15,6 +15,7 @@
 import type * as directories from '../replicas/directory';
 import * as incarnations from '../replicas/incarnation';
 import * as orderCounts from './order-counts';
+import * as reportTimeLimits from './report-time-limits';
 import * as weightsPlan from './weights-plan';
 
 export interface WeightsTaskOptions {
@@ -33,8 +34,6 @@
 const CYCLES_PER_LEASE = 4;
 /** With this many gateways, those without the lease check it half as often. */
 const GATEWAYS_TO_HALVE_CHECKS = 30;
-/** Time limit for the answer to an order or a report request. */
-const REPLICA_DEADLINE_MS = 500;
 /** Expected duration of a load. */
 const EXPECTED_LOAD_MS = 950;
 /**
@@ -46,7 +45,7 @@
 const LOAD_POLL_INTERVAL_MS = 200;
 /** An order that has not led to the version after this time is given up; a new one may follow. */
 const LOAD_TIMEOUT_MS = 4000;
-/** Backoff before another order to a replica that did not accept one. */
+/** Backoff before another order to a replica that did not accept one, or another request for its report. */
 const ORDER_BACKOFF_MS = 300;
 
 interface OrderInProgress {
@@ -66,6 +65,11 @@
 
   private readonly orderCounts = orderCounts.OrderCounts.create();
 
+  private readonly reportTimeLimits = reportTimeLimits.ReportTimeLimits.create();
+
+  /** Replicas that are asked again for a report, without which they get no order. */
+  private readonly unreported = new Set<directories.TrackedReplica>();
+
   private timer: NodeJS.Timeout | undefined;
 
   private isStopped = false;
@@ -115,7 +119,7 @@
           const version = configuration.getDesiredVersion(model);
           return version === undefined ? [] : [{ model, version }];
         });
-        const tracked = directory.list(service.name);
+        const tracked = directory.list(service.name).filter((entry) => !this.unreported.has(entry));
         const orders = weightsPlan.planOrders(
           tracked.map((entry) => this.toWeightsReplica(entry)),
           desired,
@@ -166,13 +170,19 @@
     const knownCount = this.orderCounts.find(key, fence);
     // Each report takes a connection of its own, so it is left out where its answer is known already.
     const state = knownCount === undefined ? await this.fetchReport(tracked, fence) : undefined;
+    const acceptedOrders = knownCount ?? state?.acceptedOrders;
+    if (acceptedOrders === undefined) {
+      this.unreported.add(tracked);
+      this.endOrderAfter(order.replicaId, 0);
+      setTimeout(() => this.askAgain(tracked), ORDER_BACKOFF_MS);
+      return;
+    }
     const held = directory.getVersion(tracked, order.model) ?? 0;
     const isNeeded = held < order.version && !state?.isBusy;
     if (!isNeeded || this.getValidFence() !== fence) {
       this.endOrderAfter(order.replicaId, state?.isBusy ? LOAD_POLL_INTERVAL_MS : 0);
       return;
     }
-    const acceptedOrders = knownCount ?? state?.acceptedOrders;
     const status = await replicaClient.order(
       tracked.replica,
       {
@@ -182,7 +192,7 @@
         fence,
         acceptedOrders,
       },
-      REPLICA_DEADLINE_MS,
+      this.reportTimeLimits.get(key),
     );
     this.orderCounts.recordOrder(key, fence, { acceptedOrders, status });
     environment.metrics.count('weight_orders', { outcome: status });
@@ -223,6 +233,21 @@
     else this.endOrderAfter(order.replicaId, ORDER_BACKOFF_MS);
   }
 
+  /** Asks a replica for its report until it gives one, and can get orders again. */
+  private async askAgain(tracked: directories.TrackedReplica): Promise<void> {
+    const fence = this.getValidFence();
+    const isGone = this.options.directory.get(tracked.replica.id) !== tracked;
+    const ask = (): Promise<boolean> =>
+      this.fetchReport(tracked, fence).then((state) => state !== undefined);
+    const isDone = fence === undefined || isGone || (await this.errors.settle(ask, false));
+    if (!isDone) {
+      setTimeout(() => this.askAgain(tracked), ORDER_BACKOFF_MS);
+      return;
+    }
+    this.unreported.delete(tracked);
+    this.errors.run(() => this.planOrders());
+  }
+
   /** Asks a loading replica whether it has loaded the ordered version. */
   private async poll(
     tracked: directories.TrackedReplica,
@@ -275,16 +300,17 @@
     fence: number | undefined,
   ): Promise<replicas.ReplicaReport | undefined> {
     const { replicaClient, environment } = this.options;
+    const key = incarnations.createIncarnationKey(tracked.replica);
     const startMs = environment.nowMs();
-    const state = await replicaClient.fetchReport(tracked.replica, REPLICA_DEADLINE_MS);
+    const state = await replicaClient.fetchReport(tracked.replica, this.reportTimeLimits.get(key));
+    const tookMs = Math.round(environment.nowMs() - startMs);
+    this.reportTimeLimits.record(key, state !== undefined, tookMs);
     environment.metrics.count('weight_reports', { isAnswered: String(state !== undefined) });
     if (!state) {
-      const tookMs = Math.round(environment.nowMs() - startMs);
       environment.log.info('no report of a replica', { replica: tracked.replica.id, tookMs });
       return undefined;
     }
     this.recordVersions(tracked, state);
-    const key = incarnations.createIncarnationKey(tracked.replica);
     if (fence !== undefined && !state.isBusy) {
       this.orderCounts.recordReport(key, fence, state.acceptedOrders);
     }
