Replicas: weights that went back are known, and ordered again

A replica whose weights went back to an older version kept them until another version was named: the gateways took the newest version ever known for the current one. While its row told a newer version than its answers, items were sent to it thousands of times per second, and each run was ended at the head of its answer.

What was told last counts now: an older version in an answer counts if it was observed after the row, a row that goes back drops what was observed, and rows that contradict an observation for 3 s replace it.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -440,7 +440,7 @@
     await time.advance(100);
     ['e1', 'e2', 'e3'].forEach((id) => system.replicas.versions.set(id, 2));
     await time.advance(500);
-    ['e1', 'e2', 'e3'].forEach((id) => system.replicas.versions.set(id, 4));
+    ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id, { version: 4 }));
     await time.advance(8000);
     const results = await time.settle(readAll(first, 'job'));
     expectAllCompleted(results, job);
@@ -448,6 +448,21 @@
     expect(results.some((result) => result.versions?.length === 2)).toBe(true);
   });
 
+  // The row of a replica went for newer than its answers, and each item was sent to it thousands of times.
+  it('sends no item again to a replica whose answers tell older weights than its row', async () => {
+    ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id, { version: 3 }));
+    ['e1', 'e2', 'e3'].forEach((id) => system.replicas.versions.set(id, 2));
+    const first = await system.start('vm-1');
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 8, 3)));
+    await time.advance(1000);
+    expect(system.replicas.runs.length).toBeLessThanOrEqual(8);
+    ['e1', 'e2', 'e3'].forEach((id) => system.addReplica(id, { version: 4 }));
+    await time.advance(1000);
+    const results = await time.settle(readAll(first, 'job'));
+    results.forEach((result) => expect(result.versions).toEqual([4]));
+    expect(results).toHaveLength(8);
+  });
+
   it('lists an item as terminated when its lifetime is over', async () => {
     system.configure(systems.createConfiguration(2, { itemLifetimeMs: 2000 }));
     const first = await system.start('vm-1');
--- a/packages/gateway/__tests__/store-access.test.ts
+++ b/packages/gateway/__tests__/store-access.test.ts
@@ -294,7 +294,7 @@
   it('discards the observed versions of a replica that restarted under its id', () => {
     const directory = create({ value: true });
     directory.onSnapshot([row('a', 'ready 1')]);
-    directory.get('a')?.observedVersions.set('m', 7);
+    directory.get('a')?.weights.recordObserved('m', 7, Infinity);
     directory.onChanges([{ ...row('a', 'ready 2'), isRemoved: false }]);
     const tracked = directory.get('a');
     expect(tracked && directory.getVersion(tracked, 'm')).toBe(1);
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -181,9 +181,9 @@
 
   /** Records the version of the events that follow; returns false and ends the run if the job rules it out. */
   private acceptVersion(version: number): boolean {
-    const { itemProgress, tracked, context } = this.options;
+    const { itemProgress, tracked, directory, context } = this.options;
     this.version = version;
-    tracked.observedVersions.set(itemProgress.item.model, version);
+    directory.recordVersion(tracked, itemProgress.item.model, version);
     if (version >= context.oldestVersion) return true;
     this.abortRun('weights version is older than the job accepts');
     return false;
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -19,6 +19,7 @@
 import * as incarnations from './incarnation';
 import * as replicaHealths from './replica-health';
 import type * as selections from './replica-selection';
+import * as weightVersions from './weight-versions';
 import * as workFactors from './work-factor';
 
 /** A registered replica and this gateway's state for it. */
@@ -39,8 +40,8 @@
   fullUntilMs: number;
   /** Models that it refuses while it loads their weights, and the expected end of that. */
   readonly loadingUntilMs: Map<string, number>;
-  /** Versions of the weights seen in its answers, by model; they may be newer than its row. */
-  readonly observedVersions: Map<string, number>;
+  /** Versions of the weights, from its row and its answers. */
+  readonly weights: weightVersions.WeightVersions;
 }
 
 /** What limits the selection of a replica for one request, apart from its state. */
@@ -172,12 +173,35 @@
     if (load.workFactor !== undefined) tracked.workFactor.record(load.workFactor, nowMs);
   }
 
-  /** The newest version of a model's weights that a replica is known to have. */
+  /** The version of a model's weights that a replica is known to have. */
   getVersion(tracked: TrackedReplica, model: string): number | undefined {
-    const registered = tracked.replica.modelVersions.get(model);
-    const observed = tracked.observedVersions.get(model);
-    if (registered === undefined) return observed;
-    return Math.max(registered, observed ?? 0);
+    return tracked.weights.get(model);
+  }
+
+  /**
+   * Records a version of a model's weights that an answer or a report of a replica told.
+   * @param atMs when the replica had it, on the monotonic clock
+   */
+  recordVersion(
+    tracked: TrackedReplica,
+    model: string,
+    version: number,
+    atMs = this.options.environment.nowMs(),
+  ): void {
+    const former = tracked.weights.get(model);
+    tracked.weights.recordObserved(model, version, atMs);
+    this.logIfBack(tracked.replica, model, former, tracked.weights.get(model));
+  }
+
+  private logIfBack(
+    { id }: replicas.Replica,
+    model: string,
+    former: number | undefined,
+    version: number | undefined,
+  ): void {
+    if (former === undefined || version === undefined || version >= former) return;
+    const details = { replica: id, model, version, former };
+    this.options.environment.log.info('weights of a replica went back', details);
   }
 
   onSnapshot(rows: readonly stores.Row[]): void {
@@ -212,6 +236,7 @@
     const isLeaving = this.departures.isLeaving(incarnations.createIncarnationKey(replica));
     const tracked = former && isSameIncarnation ? former : createTracked(replica, isLeaving);
     tracked.replica = replica;
+    tracked.weights.recordRow(replica.modelVersions, this.options.environment.nowMs());
     this.tracked.set(replica.id, tracked);
     if (replica.isDraining) {
       this.recordDeparture(replica, decisions.DepartureSource.Registry, 0);
@@ -260,6 +285,9 @@
 
   private logChange(former: replicas.Replica | undefined, replica: replicas.Replica): void {
     const { log } = this.options.environment;
+    former?.modelVersions.forEach((version, model) =>
+      this.logIfBack(replica, model, version, replica.modelVersions.get(model)),
+    );
     if (!former) {
       const { id, service, address, failureDomain, slots, bornMs, isDraining, softwareVersion } =
         replica;
@@ -288,6 +316,6 @@
     workFactor: workFactors.WorkFactor.create(),
     fullUntilMs: -Infinity,
     loadingUntilMs: new Map(),
-    observedVersions: new Map(),
+    weights: weightVersions.WeightVersions.create(),
   };
 }
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -223,7 +223,7 @@
       return;
     }
     if (status === OrderStatus.AlreadyHolds) {
-      tracked.observedVersions.set(order.model, order.version);
+      this.options.directory.recordVersion(tracked, order.model, order.version);
       this.endOrderAfter(order.replicaId, 0);
       return;
     }
@@ -299,7 +299,7 @@
     tracked: directories.TrackedReplica,
     fence: number | undefined,
   ): Promise<replicas.ReplicaReport | undefined> {
-    const { replicaClient, environment } = this.options;
+    const { replicaClient, environment, directory } = this.options;
     const key = incarnations.createIncarnationKey(tracked.replica);
     const startMs = environment.nowMs();
     const state = await replicaClient.fetchReport(tracked.replica, this.reportTimeLimits.get(key));
@@ -310,28 +310,15 @@
       environment.log.info('no report of a replica', { replica: tracked.replica.id, tookMs });
       return undefined;
     }
-    this.recordVersions(tracked, state);
+    state.versions.forEach((version, model) =>
+      directory.recordVersion(tracked, model, version, startMs - REPORT_LAG_MS),
+    );
     if (fence !== undefined && !state.isBusy) {
       this.orderCounts.recordReport(key, fence, state.acceptedOrders);
     }
     return state;
   }
 
-  private recordVersions(
-    tracked: directories.TrackedReplica,
-    { versions, acceptedOrders }: replicas.ReplicaReport,
-  ): void {
-    versions.forEach((version, model) => {
-      const former = tracked.observedVersions.get(model) ?? 0;
-      if (version < former) {
-        const replica = tracked.replica.id;
-        const details = { replica, model, version, former, acceptedOrders };
-        this.options.environment.log.info('weights of a replica went back', details);
-      }
-      tracked.observedVersions.set(model, version);
-    });
-  }
-
   private endOrderAfter(replicaId: string, delayMs: number): void {
     setTimeout(() => {
       this.ordersInProgress.delete(replicaId);
