Batch jobs: items that are not held are read as soon as there is memory

Steps with long prompts ran out of time: one to four of their eight items ran, and the others were at no replica although the replicas were almost idle. A job that is held in part read further items only when results of its own items were listed, so that the memory that other jobs gave back was not used until then.

--- a/packages/gateway/__tests__/large-jobs.test.ts
+++ b/packages/gateway/__tests__/large-jobs.test.ts
@@ -188,6 +188,21 @@
     expect(runner.jobs.openCount).toBe(0);
   });
 
+  // Further items were read only when results of the same job were listed, however long its items took.
+  it('is used for the other items of a job as soon as it is free again', async () => {
+    const held = system.getMemory('vm-1').tryTake(time.MEMORY_BYTES - 22 * MEBIBYTE);
+    const job = createLargeJob('job', 2 * MEBIBYTE);
+    job.items.forEach(({ id }) => system.replicas.eventCounts.set(id, 400));
+    expect((await time.settle(runner.jobs.submit(job))).isOk).toBe(true);
+    await time.advance(2000);
+    const started = system.replicas.runs.length;
+    expect(started).toBeGreaterThan(0);
+    expect(started).toBeLessThan(4);
+    held?.release();
+    await time.advance(1000);
+    expect(system.replicas.runs).toHaveLength(4);
+  });
+
   // The texts of items had no end: valid events were kept as fast as they came.
   it('does not hold more events of an item than it has output tokens', async () => {
     const job = systems.createJob('job', 1, 2);
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -288,6 +288,7 @@
     }
     job.startCheckpoints();
     runner.add(job);
+    job.loadFurtherItems();
   }
 
   private restoreTexts(
--- a/packages/gateway/src/jobs/owned-job.ts
+++ b/packages/gateway/src/jobs/owned-job.ts
@@ -344,12 +344,16 @@
       if (itemProgress) itemProgress.isListed = true;
       if (itemProgress && this.isPartial) this.window.remove(itemProgress);
     });
-    if (this.isPartial && !this.isLoading) this.loadItems();
+    this.loadFurtherItems();
     if (state.head.isFinished) this.close(JobCloseReason.Finished);
     else this.wakeReaders();
   }
 
-  /** Reads further items in place of those that are listed. */
+  /** Reads further items, if any are not held, as soon as there is room for them. */
+  loadFurtherItems(): void {
+    if (this.isPartial && !this.isLoading) this.loadItems();
+  }
+
   private async loadItems(): Promise<void> {
     const { environment, onItemsLoaded } = this.options;
     this.isLoading = true;
