Memory: texts of ended jobs give way to open work

A gateway whose trainers ended jobs early kept the texts of their unfinished items, up to 1000 of any size, as if they were open work: 86 of 93.6 MB with no job open. A job that it took over was never loaded.

The memory budget knows caches now. It drops their oldest entries for a reservation that fits without them, and none for one that does not fit anyway. The saved texts are such a cache.

Measured: large-jobs, 'is not kept from a job by the texts of jobs that were ended', guards against this; it failed before the change (no item of the open job ran) and passes, as does memory-budget.

--- a/packages/gateway/__tests__/large-jobs.test.ts
+++ b/packages/gateway/__tests__/large-jobs.test.ts
@@ -153,6 +153,15 @@
     return { ...job, items: job.items.map((item) => ({ ...item, body: Buffer.alloc(bodyBytes) })) };
   }
 
+  /** Runs a job for a while and ends it. */
+  async function endWithTexts(id: string): Promise<void> {
+    const job = systems.createJob(id, 1, 8);
+    job.items.forEach((item) => system.replicas.eventCounts.set(item.id, 400));
+    expect((await time.settle(runner.jobs.submit(job))).isOk).toBe(true);
+    await time.advance(500);
+    expect((await time.settle(runner.jobs.end(id))).isOk).toBe(true);
+  }
+
   function getHeldBytes(): number {
     return system.getMemory('vm-1').heldBytes;
   }
@@ -203,6 +212,21 @@
     expect(system.replicas.runs).toHaveLength(4);
   });
 
+  // The texts of ended jobs were kept for later jobs, and left no room for a job that was open.
+  it('is not kept from a job by the texts of jobs that were ended', async () => {
+    system.replicas.eventBytes = 20_000;
+    const ids = Array.from({ length: 30 }, (_unused, index) => `ended-${index}`);
+    for (const id of ids) await endWithTexts(id);
+    system.replicas.eventBytes = 0;
+    expect(getHeldBytes()).toBeGreaterThan(time.MEMORY_BYTES / 2);
+    const runs = system.replicas.runs.length;
+    const job = createLargeJob('job', 8 * MEBIBYTE);
+    expect((await time.settle(runner.jobs.submit(job))).isOk).toBe(true);
+    await time.advance(3000);
+    expect(system.replicas.runs).toHaveLength(runs + 4);
+    expect(runner.jobs.openCount).toBe(0);
+  });
+
   // The texts of items had no end: valid events were kept as fast as they came.
   it('does not hold more events of an item than it has output tokens', async () => {
     const job = systems.createJob('job', 1, 2);
--- a/packages/gateway/__tests__/support/fake-replicas.ts
+++ b/packages/gateway/__tests__/support/fake-replicas.ts
@@ -69,6 +69,9 @@
   /** Number of events by item; 10 when not set. */
   readonly eventCounts = new Map<string, number>();
 
+  /** Bytes that each event has in addition. */
+  eventBytes = 0;
+
   readonly versions = new Map<string, number>();
 
   /** The number of orders that replicas have accepted. */
@@ -306,7 +309,7 @@
         await pauseUnlessAborted(options.idleTimeoutMs, options.signal);
         return { status: CallStatus.Broken, reason: 'silent for too long', isSilent: true };
       }
-      const data = `${request.id}:${id}`;
+      const data = `${request.id}:${id}${'x'.repeat(this.eventBytes)}`;
       const formerVersion = version;
       version = this.versions.get(replica.id) ?? 1;
       const changedVersion = version === formerVersion ? undefined : version;
--- a/packages/gateway/src/jobs/bounded-map.ts
+++ b/packages/gateway/src/jobs/bounded-map.ts
@@ -38,8 +38,13 @@
   set(key: string, value: Value): void {
     this.delete(key);
     this.entries.set(key, value);
+    if (this.entries.size > this.maximumSize) this.deleteOldest();
+  }
+
+  /** Evicts the entry that was set longest ago. */
+  deleteOldest(): void {
     const [oldest] = this.entries.keys();
-    if (this.entries.size > this.maximumSize && oldest !== undefined) this.delete(oldest);
+    if (oldest !== undefined) this.delete(oldest);
   }
 
   delete(key: string): void {
--- a/packages/gateway/src/jobs/partial-texts.ts
+++ b/packages/gateway/src/jobs/partial-texts.ts
@@ -1,7 +1,8 @@
 /**
  * Saved texts of items that were not done when their job was closed. A trainer submits such items
  * again in a later job, which continues the texts if their versions of the weights are acceptable.
- * The texts are held in memory only: without one, an item is generated from its beginning.
+ * The texts are held in memory only: without one, an item is generated from its beginning. They give way to
+ * whatever open work holds.
  */
 import type * as intake from '@azureworks/intake';
 import * as progress from './item-progress';
@@ -21,18 +22,33 @@
 const TEXT_BYTES = 500;
 
 /** The saved texts of one gateway, by item. */
-export class PartialTexts {
+export class PartialTexts implements intake.Cache {
+  private heldBytes = 0;
+
   private readonly savedTexts = boundedMaps.BoundedMap.create<SavedText>(
     MAXIMUM_TEXTS,
-    ({ reservation }) => reservation.release(),
+    ({ reservation }) => {
+      this.heldBytes -= reservation.bytes;
+      reservation.release();
+    },
   );
 
-  private constructor(private readonly memory: intake.Memory) {}
+  private constructor(private readonly memory: intake.Memory) {
+    memory.addCache(this);
+  }
 
   static create(memory: intake.Memory): PartialTexts {
     return new PartialTexts(memory);
   }
 
+  get bytes(): number {
+    return this.heldBytes;
+  }
+
+  dropOldest(): void {
+    this.savedTexts.deleteOldest();
+  }
+
   /** Saves a text that another gateway left in the store. */
   saveText(text: records.PartialText): void {
     this.save({ text, isComplete: false, score: undefined, scoringId: undefined });
@@ -51,7 +67,9 @@
     const { itemId } = saved.text;
     this.savedTexts.delete(itemId);
     const reservation = this.memory.tryTake(estimateBytes(saved.text));
-    if (reservation) this.savedTexts.set(itemId, { ...saved, reservation });
+    if (!reservation) return;
+    this.heldBytes += reservation.bytes;
+    this.savedTexts.set(itemId, { ...saved, reservation });
   }
 
   /** Restores the saved text of an item that is not done; returns whether there was one. */
--- a/packages/intake/__tests__/memory-budget.test.ts
+++ b/packages/intake/__tests__/memory-budget.test.ts
@@ -42,4 +42,22 @@
     reservation.release();
     expect(memory.heldBytes).toBe(0);
   });
+
+  it('takes what is only cached for reservations that fit without it, the oldest first', () => {
+    const memory = memoryBudgets.MemoryBudget.create(TOTAL_BYTES);
+    const entries = [1, 2, 3].map(() => memory.open());
+    entries.forEach((entry) => entry.grow(LARGE_SHARE_BYTES / 3));
+    const dropOldest = (): void => entries.shift()?.release();
+    const cache = {
+      get bytes() {
+        return entries.reduce((sum, entry) => sum + entry.bytes, 0);
+      },
+      dropOldest,
+    };
+    memory.addCache(cache);
+    expect(memory.tryTake(LARGE_SHARE_BYTES + 1)).toBeUndefined();
+    expect(entries).toHaveLength(3);
+    expect(memory.tryTake(LARGE_SHARE_BYTES / 2)).toBeDefined();
+    expect(entries).toHaveLength(1);
+  });
 });
--- a/packages/intake/src/core/memory-budget.ts
+++ b/packages/intake/src/core/memory-budget.ts
@@ -5,7 +5,7 @@
  * does not fit is refused, or waits in the store.
  *
  * Load pattern: one caller sends as much as a request may have, others go on with small requests. A part of
- * the budget is therefore kept for small reservations.
+ * the budget is therefore kept for small reservations. What is only cached gives way to open work.
  */
 import type * as memories from '../types/memory';
 import * as budgetReservations from './budget-reservation';
@@ -19,6 +19,8 @@
 export class MemoryBudget implements memories.Memory {
   private reservedBytes = 0;
 
+  private readonly caches: memories.Cache[] = [];
+
   private constructor(private readonly totalBytes: number) {}
 
   static create(totalBytes: number): MemoryBudget {
@@ -46,7 +48,17 @@
   /** @param sizeBytes the size of the reservation once it has grown by `bytes` */
   fits(bytes: number, sizeBytes: number): boolean {
     const share = sizeBytes <= SMALL_RESERVATION_BYTES ? 1 : 1 - SMALL_SHARE;
-    return this.reservedBytes + bytes <= this.totalBytes * share;
+    const mostReservedBytes = this.totalBytes * share - bytes;
+    const cachedBytes = this.caches.reduce((sum, cache) => sum + cache.bytes, 0);
+    if (this.reservedBytes - cachedBytes > mostReservedBytes) return false;
+    while (this.reservedBytes > mostReservedBytes) {
+      this.caches.find((cache) => cache.bytes > 0)?.dropOldest();
+    }
+    return true;
+  }
+
+  addCache(cache: memories.Cache): void {
+    this.caches.push(cache);
   }
 
   /** Called by the reservations only. */
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -14,4 +14,4 @@
   RequestIntake,
 } from './http/request-intake';
 export { SocketLimit, type SocketLimitOptions } from './http/socket-limit';
-export type { Memory, Reservation } from './types/memory';
+export type { Cache, Memory, Reservation } from './types/memory';
--- a/packages/intake/src/types/memory.ts
+++ b/packages/intake/src/types/memory.ts
@@ -16,6 +16,14 @@
   release(): void;
 }
 
+/** What is kept in case it is needed again, as long as nothing else needs its memory. */
+export interface Cache {
+  /** The bytes that its entries hold. */
+  readonly bytes: number;
+  /** Gives back the memory of the entry that was added longest ago. */
+  dropOldest(): void;
+}
+
 /** The budget of one process. */
 export interface Memory {
   /** The bytes of all reservations. */
@@ -24,4 +32,6 @@
   open(): Reservation;
   /** Creates a reservation of so many bytes; undefined when they do not fit. */
   tryTake(bytes: number): Reservation | undefined;
+  /** Drops entries of the cache for reservations that would not fit otherwise. */
+  addCache(cache: Cache): void;
 }
