Batch jobs: a finished job stays in the store until its trainer ends it

A minute after the time for which results must be kept, both gateways answered reads of an open job with nothing, and its end with 404, although its trainer had not read all of it. A job whose list is whole and one that was ended were closed for reasons that were treated alike, and the rows of both were removed.

Rows are removed after the end only, by the gateway that ended the job and by the one that ran it. A removal without an answer of the store is repeated.

--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -55,6 +55,9 @@
 
   private readonly takingOver = new Set<string>();
 
+  /** Ended jobs whose rows this gateway removes once they need not be readable any more. */
+  private readonly discarding = new Set<string>();
+
   private readonly savedTexts: partialTexts.PartialTexts;
 
   private readonly loader: jobLoaders.JobLoader;
@@ -192,12 +195,14 @@
       if (!state || state.head.organisation !== organisation) return answers.fail('unknown-job');
       if (state.head.isEnded) {
         this.onJobEnded(id);
+        this.discardLater(id, state.head);
         return { isOk: true, value: undefined };
       }
       const outcome = await store.end(id, state);
       if (outcome.status === stores.StoreStatus.Done) {
         environment.log.info('job ended by its caller', { job: id, listed: state.head.listed });
         this.onJobEnded(id);
+        this.discardLater(id, state.head);
         return { isOk: true, value: undefined };
       }
       if (outcome.status !== stores.StoreStatus.Conflict) return answers.fail('outcome-unknown');
@@ -212,8 +217,12 @@
     this.starter.recordEnd(id);
     const owned = this.owned.get(id);
     if (!owned) return;
-    if (owned.isOpen) owned.close(ownedJobs.JobCloseReason.Ended);
-    else owned.closeReason = ownedJobs.JobCloseReason.Ended;
+    if (owned.isOpen) {
+      owned.close(ownedJobs.JobCloseReason.Ended);
+      return;
+    }
+    owned.closeReason = ownedJobs.JobCloseReason.Ended;
+    this.discardLater(id, owned.head);
   }
 
   /** Refuses new jobs from now on and answers all waiting readers. */
@@ -302,7 +311,7 @@
   }
 
   private onJobClosed(job: ownedJobs.OwnedJob): void {
-    const { runner, environment, store, jobRetentionMs } = this.options;
+    const { runner, environment } = this.options;
     const { id } = job;
     runner.remove(job);
     job.items.forEach((itemProgress) => {
@@ -314,11 +323,24 @@
       return;
     }
     environment.pause(CLOSED_JOB_RETENTION_MS).then(() => this.forget(id));
-    const ageMs = store.nowMs - job.head.acceptedMs;
-    // The job itself is not held until then.
-    environment
-      .pause(Math.max(0, jobRetentionMs - ageMs) + DISCARD_MARGIN_MS)
-      .then(() => store.discard(id));
+    // A finished job is open to its trainer until it is ended.
+    if (job.closeReason === Ended) this.discardLater(id, job.head);
+  }
+
+  /** Removes the rows of an ended job after the time for which it must be readable. */
+  private discardLater(id: string, { acceptedMs }: jobStores.HeadState['head']): void {
+    if (this.discarding.has(id)) return;
+    this.discarding.add(id);
+    const { store, jobRetentionMs } = this.options;
+    const ageMs = store.nowMs - acceptedMs;
+    this.discardAfter(id, Math.max(0, jobRetentionMs - ageMs) + DISCARD_MARGIN_MS);
+  }
+
+  private async discardAfter(id: string, delayMs: number): Promise<void> {
+    const { environment, store } = this.options;
+    await environment.pause(delayMs);
+    while (!(await store.discard(id))) await environment.pause(DISCARD_MARGIN_MS);
+    this.discarding.delete(id);
   }
 
   private forget(id: string): void {
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -358,16 +358,19 @@
     return this.store.transact({ conditions: [], writes, removals: [] });
   }
 
-  /** Removes all rows of a job that callers can no longer read; the head is removed last. */
-  async discard(id: string): Promise<void> {
+  /**
+   * Removes all rows of a job that callers can no longer read; the head is removed last. Returns whether none
+   * is left.
+   */
+  async discard(id: string): Promise<boolean> {
     const { RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE, JOBS_TABLE } = records;
     for (const table of [RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE]) {
-      await this.discardRows({ table, partition: id });
+      if (!(await this.discardRows({ table, partition: id }))) return false;
     }
     const partition = id;
     const itemRange = { from: records.ITEMS_PREFIX, to: records.ITEMS_END };
     const areItemsRemoved = await this.discardRows({ table: JOBS_TABLE, partition, ...itemRange });
-    if (areItemsRemoved) await this.discardRows({ table: JOBS_TABLE, partition });
+    return areItemsRemoved && this.discardRows({ table: JOBS_TABLE, partition });
   }
 
   /** Removes the rows of a range, a few at a time; returns whether none is left. */
