Replicas: an overtaken answer does not take the known weights back

Answers on different connections overtake each other. The head of an answer that told older weights and arrived late counted as newer than the row of the replica, for up to 3 s, since its arrival was taken for the time at which it was told.

The version in the head of an answer counts from when its request was sent, and one in the answer to an earlier request counts only if it is newer.

Measured: weights-that-went-back, 'after 4 and then 5 in the answer to an earlier request is 5', fails without the change. The tests of weights, orders and batch jobs pass.

--- a/packages/gateway/__tests__/weights-that-went-back.test.ts
+++ b/packages/gateway/__tests__/weights-that-went-back.test.ts
@@ -60,10 +60,14 @@
     expect(versions.get('m')).toBe(3);
   });
 
-  it('is not an observation that is older than another', () => {
+  // Answers on different connections overtake each other.
+  it.each([
+    [3, 4],
+    [5, 5],
+  ])('after 4 and then %i in the answer to an earlier request is %i', (late, known) => {
     versions.recordObserved('m', 4, 1500);
-    versions.recordObserved('m', 3, 1400);
-    expect(versions.get('m')).toBe(4);
+    versions.recordObserved('m', late, 1400);
+    expect(versions.get('m')).toBe(known);
   });
 
   // A wrong observation would otherwise keep the replica from work that could correct it.
--- a/packages/gateway/src/jobs/stream-run.ts
+++ b/packages/gateway/src/jobs/stream-run.ts
@@ -123,7 +123,7 @@
     this.status = head.status;
     directory.recordLoad(tracked, head.load);
     if (head.status !== STATUS_OK || head.weightVersion === undefined) return;
-    if (!this.acceptVersion(head.weightVersion)) return;
+    if (!this.acceptVersion(head.weightVersion, itemProgress.runStartedMs)) return;
     if (!context.isSingleVersion || itemProgress.versions.size === 0) return;
     if (!itemProgress.versions.has(head.weightVersion)) itemProgress.reset();
     // The stream continues after events that were just discarded, so it cannot be used.
@@ -137,7 +137,10 @@
   receive(event: replicas.StreamEvent): void {
     const { itemProgress, environment, tracked, context } = this.options;
     if (this.abortController.signal.aborted || this.status !== STATUS_OK) return;
-    if (event.weightVersion !== undefined && !this.acceptVersion(event.weightVersion)) return;
+    const { weightVersion } = event;
+    if (weightVersion !== undefined && !this.acceptVersion(weightVersion, environment.nowMs())) {
+      return;
+    }
     if (context.isSingleVersion && this.version !== undefined && itemProgress.versions.size > 0) {
       if (!itemProgress.versions.has(this.version)) {
         itemProgress.reset();
@@ -180,10 +183,10 @@
   }
 
   /** Records the version of the events that follow; returns false and ends the run if the job rules it out. */
-  private acceptVersion(version: number): boolean {
+  private acceptVersion(version: number, atMs: number): boolean {
     const { itemProgress, tracked, directory, context } = this.options;
     this.version = version;
-    directory.recordVersion(tracked, itemProgress.item.model, version);
+    directory.recordVersion(tracked, itemProgress.item.model, version, atMs);
     if (version >= context.oldestVersion) return true;
     this.abortRun('weights version is older than the job accepts');
     return false;
--- a/packages/gateway/src/replicas/directory.ts
+++ b/packages/gateway/src/replicas/directory.ts
@@ -180,14 +180,9 @@
 
   /**
    * Records a version of a model's weights that an answer or a report of a replica told.
-   * @param atMs when the replica had it, on the monotonic clock
+   * @param atMs before the replica told it, on the monotonic clock
    */
-  recordVersion(
-    tracked: TrackedReplica,
-    model: string,
-    version: number,
-    atMs = this.options.environment.nowMs(),
-  ): void {
+  recordVersion(tracked: TrackedReplica, model: string, version: number, atMs: number): void {
     const former = tracked.weights.get(model);
     tracked.weights.recordObserved(model, version, atMs);
     this.logIfBack(tracked.replica, model, former, tracked.weights.get(model));
--- a/packages/gateway/src/replicas/weight-versions.ts
+++ b/packages/gateway/src/replicas/weight-versions.ts
@@ -53,11 +53,15 @@
     });
   }
 
-  /** @param atMs when the replica had this version */
+  /**
+   * Records a version that an answer or a report told. Answers may overtake each other, so an older version in
+   * the answer to an earlier request tells nothing.
+   * @param atMs before the replica told it; when the request was sent, for example
+   */
   recordObserved(model: string, version: number, atMs: number): void {
     const latest = this.observations.get(model);
-    if (latest && latest.atMs > atMs) return;
-    this.observations.set(model, { version, atMs });
+    if (latest && atMs < latest.atMs && version <= latest.version) return;
+    this.observations.set(model, { version, atMs: Math.max(atMs, latest?.atMs ?? atMs) });
   }
 
   /** Drops an observation that the rows have contradicted for long. */
--- a/packages/gateway/src/weights/weights-task.ts
+++ b/packages/gateway/src/weights/weights-task.ts
@@ -207,13 +207,14 @@
       outcome: status,
       tookMs: Math.round(environment.nowMs() - startMs),
     });
-    this.handleOrderStatus(tracked, order, status);
+    this.handleOrderStatus(tracked, order, status, startMs);
   }
 
   private handleOrderStatus(
     tracked: directories.TrackedReplica,
     order: weightsPlan.PlannedOrder,
     status: replicas.OrderStatus,
+    startMs: number,
   ): void {
     const { OrderStatus } = replicas;
     if (status === OrderStatus.Accepted) {
@@ -223,7 +224,7 @@
       return;
     }
     if (status === OrderStatus.AlreadyHolds) {
-      this.options.directory.recordVersion(tracked, order.model, order.version);
+      this.options.directory.recordVersion(tracked, order.model, order.version, startMs);
       this.endOrderAfter(order.replicaId, 0);
       return;
     }
