Batch jobs: a late removal leaves a job that was submitted under the id since

Found while reading the change: the rows of an ended job are removed by two gateways, and a removal that failed is repeated. A later one acted on what was known minutes before, and removed the rows of a job that had been submitted under the same id since.

The head is read again before a removal, which goes on only if the job is ended and was submitted when the removal says.

--- a/packages/gateway/__tests__/batch-jobs.test.ts
+++ b/packages/gateway/__tests__/batch-jobs.test.ts
@@ -424,6 +424,26 @@
     expect(listJobRows()).toHaveLength(0);
   });
 
+  // The gateway that ran the job and the one that ended it both remove its rows, and repeat a removal that failed.
+  it('does not remove a job that was submitted under the id of one that it removes late', async () => {
+    const first = await system.start('vm-1');
+    const second = await system.start('vm-2');
+    await time.settle(first.jobs.submit(systems.createJob('job', 1, 2)));
+    await time.advance(3000);
+    expect((await time.settle(second.jobs.end('job'))).isOk).toBe(true);
+    expect((await time.settle(first.jobs.end('job'))).isOk).toBe(true);
+    await time.advance(100_000);
+    ['jobs', 'results', 'partials', 'notices', 'open'].forEach((table) =>
+      system.store.inspect(table).forEach(({ partition, key }) => {
+        system.store.remove(table, partition, key);
+      }),
+    );
+    await time.advance(30_000);
+    expect((await time.settle(second.jobs.submit(systems.createJob('job', 1, 2)))).isOk).toBe(true);
+    await time.advance(90_000);
+    expect(system.store.inspect('jobs')).not.toEqual([]);
+  });
+
   it('returns the body of an item without a result, at every gateway', async () => {
     const first = await system.start('vm-1');
     const second = await system.start('vm-2');
--- a/packages/gateway/src/jobs/job-service.ts
+++ b/packages/gateway/src/jobs/job-service.ts
@@ -328,18 +328,18 @@
   }
 
   /** Removes the rows of an ended job after the time for which it must be readable. */
-  private discardLater(id: string, { acceptedMs }: jobStores.HeadState['head']): void {
+  private discardLater(id: string, head: jobStores.HeadState['head']): void {
     if (this.discarding.has(id)) return;
     this.discarding.add(id);
     const { store, jobRetentionMs } = this.options;
-    const ageMs = store.nowMs - acceptedMs;
-    this.discardAfter(id, Math.max(0, jobRetentionMs - ageMs) + DISCARD_MARGIN_MS);
+    const remainingMs = Math.max(0, head.acceptedMs + jobRetentionMs - store.nowMs);
+    this.discardAfter(remainingMs + DISCARD_MARGIN_MS, id, head.submittedMs);
   }
 
-  private async discardAfter(id: string, delayMs: number): Promise<void> {
+  private async discardAfter(delayMs: number, id: string, submittedMs: number): Promise<void> {
     const { environment, store } = this.options;
     await environment.pause(delayMs);
-    while (!(await store.discard(id))) await environment.pause(DISCARD_MARGIN_MS);
+    while (!(await store.discard(id, submittedMs))) await environment.pause(DISCARD_MARGIN_MS);
     this.discarding.delete(id);
   }
 
--- a/packages/gateway/src/jobs/job-store.ts
+++ b/packages/gateway/src/jobs/job-store.ts
@@ -359,11 +359,14 @@
   }
 
   /**
-   * Removes all rows of a job that callers can no longer read; the head is removed last. Returns whether none
-   * is left.
+   * Removes all rows of an ended job that callers can no longer read; the head is removed last. Leaves a job that
+   * was submitted under the same id since. Returns false when it has to be tried again.
    */
-  async discard(id: string): Promise<boolean> {
+  async discard(id: string, submittedMs: number): Promise<boolean> {
     const { RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE, JOBS_TABLE } = records;
+    const state = await this.readHead(id);
+    if (state === UNREADABLE) return this.isOdd(id);
+    if (!state?.head.isEnded || state.head.submittedMs !== submittedMs) return true;
     for (const table of [RESULTS_TABLE, PARTIALS_TABLE, NOTICES_TABLE]) {
       if (!(await this.discardRows({ table, partition: id }))) return false;
     }
