--- a/packages/intake/src/core/budget-reservation.ts
+++ b/packages/intake/src/core/budget-reservation.ts
@@ -5,7 +5,7 @@
 
 /** The budget as its reservations use it. */
 interface Budget {
-  fits(bytes: number, sizeBytes: number): boolean;
+  makeRoom(bytes: number, sizeBytes: number): boolean;
   change(bytes: number): void;
 }
 
@@ -24,7 +24,7 @@
   }
 
   tryGrow(bytes: number): boolean {
-    if (!this.budget.fits(bytes, this.heldBytes + bytes)) return false;
+    if (!this.budget.makeRoom(bytes, this.heldBytes + bytes)) return false;
     this.grow(bytes);
     return true;
   }
--- a/packages/intake/src/core/memory-budget.ts
+++ b/packages/intake/src/core/memory-budget.ts
@@ -45,8 +45,11 @@
     return reservation.tryGrow(bytes) ? reservation : undefined;
   }
 
-  /** @param sizeBytes the size of the reservation once it has grown by `bytes` */
-  fits(bytes: number, sizeBytes: number): boolean {
+  /**
+   * Drops what is cached, as far as that is needed for a reservation; returns whether it fits.
+   * @param sizeBytes the size of the reservation once it has grown by `bytes`
+   */
+  makeRoom(bytes: number, sizeBytes: number): boolean {
     const share = sizeBytes <= SMALL_RESERVATION_BYTES ? 1 : 1 - SMALL_SHARE;
     const mostReservedBytes = this.totalBytes * share - bytes;
     const cachedBytes = this.caches.reduce((sum, cache) => sum + cache.bytes, 0);
